--- /dev/null
+++ b/src/flamingoctl/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/libflamingo/base/resultcode.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <string_view>
+
+namespace flamingo {
+
+/**
+ * Numbered outcome of an operation, as callers and operators see it.
+ *
+ * 0 success; 1xxx refused and not run; 2xxx failed; 3xxx outcome unknown; 4xxx bad input.
+ * docs/result-codes.md lists each code; a test compares the two.
+ */
+enum class ResultCode : int {
+    Ok = 0,
+
+    NoLease = 1001,
+    Overloaded = 1002,
+    Stopping = 1003,
+    Quarantined = 1004,
+    RequestIdExpired = 1005,
+    ControlUnavailable = 1006,
+    NoEndpoint = 1007,
+    EndpointRefused = 1008,
+    VersionMismatch = 1009,
+    CoverageUnattainable = 1010,
+    NotReady = 1011,
+    DeadlineTooShort = 1012,
+    NotLeader = 1013,
+    ClaimsFull = 1014,
+
+    DeadlineExceeded = 2001,
+    CoverageBelowFloor = 2002,
+    SnapshotGone = 2003,
+    EndpointFailed = 2004,
+    InternalError = 2005,
+    StorageFailed = 2006,
+
+    OutcomeUnknown = 3001,
+    StillRunning = 3002,
+    CommandOutcomeUnknown = 3003,
+
+    MalformedBody = 4001,
+    BodyTooLarge = 4002,
+    UnknownService = 4003,
+    UnknownKind = 4004,
+    InvalidField = 4005,
+    SyntaxError = 4006,
+    UnknownName = 4007,
+    InvalidUtf8 = 4008,
+    RequestIdReused = 4009,
+    LayoutConflict = 4010,
+    AlreadyExists = 4011,
+    UnsupportedProtocol = 4012,
+    InvalidSettings = 4013,
+    WrongIdempotence = 4014,
+    CommandIdReused = 4015,
+};
+
+enum class ResultClass {
+    Success,
+    NotRun,
+    Failed,
+    UnknownOutcome,
+    BadInput,
+};
+
+/** Returns the name of the code as written in the enumeration. Thread-safe. */
+std::string_view resultCodeName(ResultCode code);
+
+/** Returns the class that the code's number range stands for. Thread-safe. */
+ResultClass resultClass(ResultCode code);
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/control/endpointrecord.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace flamingo {
+
+/** One shard of one snapshot that an endpoint holds. */
+struct ShardHolding {
+    SnapshotVersion m_version;
+    LayoutId m_layout;
+    ShardIndex m_shard;
+};
+
+/** An endpoint as it announced itself. */
+struct EndpointRecord {
+    EndpointId m_id;
+    ServiceName m_service;
+    std::string m_address; // IP address
+    std::uint16_t m_port = 0;
+    DataCentreName m_dataCentre;
+    Incarnation m_incarnation;
+    std::vector<ShardHolding> m_holdings;
+    std::uint32_t m_slots = 1; // requests it runs at the same time
+    std::uint32_t m_connections = 1; // connections it accepts from the whole system
+    bool m_draining = false; // announced by the endpoint itself
+    Revision m_registeredIn; // revision of its last registration
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/control/snapshotlayout.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace flamingo {
+
+/** Identifies one partitioning of one snapshot of a service. */
+struct LayoutKey {
+    ServiceName m_service;
+    SnapshotVersion m_version;
+    LayoutId m_layout;
+
+    friend bool operator==(const LayoutKey& a, const LayoutKey& b)
+    {
+        return a.m_service == b.m_service && a.m_version == b.m_version && a.m_layout == b.m_layout;
+    }
+    friend bool operator<(const LayoutKey& a, const LayoutKey& b)
+    {
+        if (a.m_service != b.m_service)
+            return a.m_service < b.m_service;
+        if (a.m_version != b.m_version)
+            return a.m_version < b.m_version;
+        return a.m_layout < b.m_layout;
+    }
+};
+
+/**
+ * Shards of one snapshot with their weights.
+ *
+ * The denominator of coverage comes from here and never from the endpoints now announced; a lost
+ * shard would otherwise raise the coverage that is stated.
+ */
+struct SnapshotLayout {
+    LayoutKey m_key;
+    std::vector<std::uint32_t> m_shardWeights; // one for each shard index, each at least 1
+};
+
+} // namespace flamingo
