Add the replicated log: pure core, storage and member driver

Cause: control decisions need one agreed, durable order that survives lost VMs, lost disks and partitions.

Tests run members on a simulated network and clock.

--- /dev/null
+++ b/src/libflamingo/consensus/bootstrap.cpp
@@ -0,0 +1,141 @@
+#include "consensus/bootstrap.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace flamingo {
+
+namespace {
+
+constexpr Milliseconds kAttemptInterval { 500 };
+// An answer may be late by several attempts, but one from a process that has since gone should not count.
+constexpr Milliseconds kAnswerLifetime { 3000 };
+// A member that the cluster has forgotten waits this long for a leader before it asks to join.
+constexpr Milliseconds kLeaderSilence { 3000 };
+
+bool isListed(const BootstrapState& bootstrap)
+{
+    return std::any_of(bootstrap.m_initial.begin(), bootstrap.m_initial.end(),
+        [&](const InitialMember& member) { return member.m_vm == bootstrap.m_vm; });
+}
+
+bool isForming(const BootstrapState& bootstrap)
+{
+    return isListed(bootstrap)
+        && std::all_of(bootstrap.m_initial.begin(), bootstrap.m_initial.end(),
+            [&](const InitialMember& member) { return bootstrap.m_vm <= member.m_vm; });
+}
+
+/** Returns the first configuration if all listed members are known to be fresh. */
+std::optional<Configuration> firstConfiguration(const BootstrapState& bootstrap, const RaftState& raft)
+{
+    if (!isForming(bootstrap))
+        return std::nullopt;
+    bool allowed = bootstrap.m_allowed;
+    Configuration configuration;
+    const std::uint64_t digest = initialListDigest(bootstrap.m_initial);
+    for (const InitialMember& member : bootstrap.m_initial) {
+        if (member.m_vm == bootstrap.m_vm) {
+            configuration.m_members.push_back({ raft.m_self, member.m_vm, member.m_address, true });
+            continue;
+        }
+        const auto found = bootstrap.m_answers.find(member.m_address);
+        if (found == bootstrap.m_answers.end())
+            return std::nullopt;
+        const StatusAnswer& status = found->second.m_status;
+        if (!status.m_fresh || status.m_vm != member.m_vm || status.m_listDigest != digest)
+            return std::nullopt;
+        allowed = allowed || status.m_bootstrapAllowed;
+        configuration.m_members.push_back({ found->second.m_member, member.m_vm, member.m_address, true });
+    }
+    return allowed ? std::optional<Configuration>(configuration) : std::nullopt;
+}
+
+/** Returns whether the cluster does not know this member, or knows it at another address. */
+bool mustAnnounce(const BootstrapState& bootstrap, const RaftState& raft, MonotonicTime now)
+{
+    const MemberRecord* own = findMember(latestConfiguration(raft.m_log), raft.m_self);
+    if (own)
+        return own->m_address != bootstrap.m_address;
+    return !raft.m_lastLeaderContact || now - *raft.m_lastLeaderContact > kLeaderSilence;
+}
+
+void askToJoin(const BootstrapState& bootstrap, const std::set<std::string>& addresses, BootstrapEffects& effects)
+{
+    for (const std::string& address : addresses) {
+        if (!address.empty() && address != bootstrap.m_address)
+            effects.m_messages.emplace_back(address, JoinRequest { bootstrap.m_vm });
+    }
+}
+
+} // namespace
+
+std::uint64_t initialListDigest(const std::vector<InitialMember>& members)
+{
+    std::vector<std::string> lines;
+    lines.reserve(members.size());
+    for (const InitialMember& member : members)
+        lines.push_back(member.m_vm.value() + " " + member.m_address + "\n");
+    std::sort(lines.begin(), lines.end());
+    std::uint64_t digest = 0;
+    for (const std::string& line : lines)
+        digest = hashBytes(line, digest);
+    return digest;
+}
+
+StatusAnswer statusOf(const BootstrapState& bootstrap, const RaftState& raft, const std::string& leaderAddress)
+{
+    return { bootstrap.m_vm, isFresh(raft), bootstrap.m_allowed, initialListDigest(bootstrap.m_initial),
+        leaderAddress };
+}
+
+BootstrapEffects stepBootstrap(BootstrapState& bootstrap, const RaftState& raft, MonotonicTime now)
+{
+    BootstrapEffects effects;
+    if (now < bootstrap.m_nextAttempt || raft.m_removed)
+        return effects;
+    bootstrap.m_nextAttempt = now + kAttemptInterval;
+    if (!isFresh(raft)) {
+        bootstrap.m_answers.clear();
+        if (!mustAnnounce(bootstrap, raft, now))
+            return effects;
+        std::set<std::string> addresses;
+        for (const InitialMember& member : bootstrap.m_initial)
+            addresses.insert(member.m_address);
+        for (const MemberRecord& member : latestConfiguration(raft.m_log).m_members)
+            addresses.insert(member.m_address);
+        askToJoin(bootstrap, addresses, effects);
+        return effects;
+    }
+    for (auto it = bootstrap.m_answers.begin(); it != bootstrap.m_answers.end();)
+        it = now - it->second.m_received > kAnswerLifetime ? bootstrap.m_answers.erase(it) : std::next(it);
+    effects.m_form = firstConfiguration(bootstrap, raft);
+    if (effects.m_form)
+        return effects;
+    std::set<std::string> cluster;
+    for (const auto& [address, answer] : bootstrap.m_answers) {
+        if (!answer.m_status.m_fresh) {
+            cluster.insert(address);
+            cluster.insert(answer.m_status.m_leaderAddress);
+        }
+    }
+    askToJoin(bootstrap, cluster, effects);
+    for (const InitialMember& member : bootstrap.m_initial) {
+        if (member.m_vm != bootstrap.m_vm)
+            effects.m_messages.emplace_back(member.m_address, StatusQuery { initialListDigest(bootstrap.m_initial) });
+    }
+    return effects;
+}
+
+void handleStatusAnswer(
+    BootstrapState& bootstrap, const RaftMessage& message, const StatusAnswer& answer, MonotonicTime now)
+{
+    for (const InitialMember& member : bootstrap.m_initial) {
+        if (member.m_vm == answer.m_vm && member.m_vm != bootstrap.m_vm)
+            bootstrap.m_answers[member.m_address] = { message.m_from, answer, now };
+    }
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/consensus/consensusmember.cpp
@@ -0,0 +1,386 @@
+#include "consensus/consensusmember.h"
+
+#include "base/hash.h"
+#include "consensus/raftcodec.h"
+#include "consensus/raftstep.h"
+
+#include <array>
+#include <cstdio>
+#include <set>
+
+namespace flamingo {
+
+namespace {
+
+MemberId makeMemberId(const VmId& vm, std::uint64_t seed)
+{
+    constexpr std::size_t kSize = 17;
+    std::array<char, kSize> digits {};
+    const auto incarnation = static_cast<unsigned long long>(hashBytes(vm.value(), seed));
+    std::snprintf(digits.data(), digits.size(), "%016llx", incarnation);
+    return MemberId(vm.value() + "#" + digits.data());
+}
+
+bool isMembershipBody(const RaftBody& body)
+{
+    return std::holds_alternative<StatusQuery>(body) || std::holds_alternative<StatusAnswer>(body)
+        || std::holds_alternative<JoinRequest>(body) || std::holds_alternative<JoinAnswer>(body);
+}
+
+} // namespace
+
+ConsensusMember::ConsensusMember(
+    MemberSettings settings, MemberCallbacks callbacks, std::unique_ptr<LogStorage> storage)
+    : m_settings(std::move(settings))
+    , m_callbacks(std::move(callbacks))
+    , m_storage(std::move(storage))
+{
+    m_bootstrap.m_vm = m_settings.m_vm;
+    m_bootstrap.m_address = m_settings.m_address;
+    m_bootstrap.m_initial = m_settings.m_initialMembers;
+    m_bootstrap.m_allowed = m_settings.m_bootstrapAllowed;
+}
+
+std::unique_ptr<ConsensusMember> ConsensusMember::open(
+    MemberSettings settings, MemberCallbacks callbacks, MonotonicTime now, Reason& reason)
+{
+    std::set<VmId> names;
+    for (const InitialMember& member : settings.m_initialMembers) {
+        if (!names.insert(member.m_vm).second) {
+            reason = Reason { ResultCode::InvalidSettings,
+                "the initial members list VM " + member.m_vm.value() + " twice" };
+            return nullptr;
+        }
+    }
+    if (settings.m_bootstrapAllowed && names.count(settings.m_vm) == 0) {
+        reason = Reason { ResultCode::InvalidSettings,
+            "bootstrap is allowed, but VM " + settings.m_vm.value() + " is not among the initial members" };
+        return nullptr;
+    }
+    auto storage = LogStorage::open(settings.m_folder, settings.m_storage, reason);
+    if (!storage)
+        return nullptr;
+    std::unique_ptr<ConsensusMember> member(
+        new ConsensusMember(std::move(settings), std::move(callbacks), std::move(storage)));
+    if (member->start(now))
+        return member;
+    reason = member->m_reason;
+    return nullptr;
+}
+
+bool ConsensusMember::start(MonotonicTime now)
+{
+    if (!m_storage->meta()) {
+        // Durable before anyone learns the id, so that no vote is ever given under an id that is lost.
+        const LogStorage::Meta meta { makeMemberId(m_settings.m_vm, m_settings.m_seed), Term(), MemberId() };
+        if (!m_storage->saveMeta(meta))
+            return stop(m_storage->lastReason());
+    }
+    const LogStorage::Meta meta = *m_storage->meta();
+    if (meta.m_member.value().rfind(m_settings.m_vm.value() + "#", 0) != 0) {
+        return refuse(ResultCode::InvalidSettings,
+            "the data folder " + m_settings.m_folder + " belongs to member " + meta.m_member.value() + ", not to VM "
+                + m_settings.m_vm.value());
+    }
+    SnapshotInfo info;
+    const auto snapshot = m_storage->snapshot();
+    if (snapshot) {
+        info = snapshot->info();
+        const auto bytes = snapshot->read(0, info.m_size, m_reason);
+        if (!bytes || !m_callbacks.m_restoreSnapshot(info.m_index, *bytes, m_reason))
+            return stop(m_reason);
+    }
+    m_delivered = info.m_index;
+    m_raft = startState(m_settings.m_raft, meta.m_member, meta.m_term, meta.m_vote,
+        makeLog(std::move(info), m_storage->takeEntries()), m_settings.m_seed, now);
+    return true;
+}
+
+bool ConsensusMember::stop(Reason reason)
+{
+    m_failed = true;
+    m_proposals.clear();
+    m_reason = std::move(reason);
+    if (m_callbacks.m_failed)
+        m_callbacks.m_failed(m_reason);
+    return false;
+}
+
+bool ConsensusMember::refuse(ResultCode code, std::string text)
+{
+    m_reason = Reason { code, std::move(text) };
+    return false;
+}
+
+bool ConsensusMember::run(const RaftEvent& event, MonotonicTime now)
+{
+    if (m_failed)
+        return false;
+    m_busy = true;
+    Effects effects = step(m_raft, event, now);
+    const bool carriedOut = carryOut(effects, now);
+    m_busy = false;
+    if (carriedOut && effects.m_refused) {
+        m_reason = *effects.m_refused;
+        return false;
+    }
+    return carriedOut;
+}
+
+bool ConsensusMember::carryOut(Effects& effects, MonotonicTime now)
+{
+    if (effects.m_fault)
+        return stop(*effects.m_fault);
+    if (!persist(effects))
+        return false;
+    sendMessages(effects);
+    if (m_failed)
+        return false;
+    deliver(effects.m_apply);
+    if (!takeSnapshotIfDue(now))
+        return false;
+    if (effects.m_roleChanged && m_callbacks.m_roleChanged)
+        m_callbacks.m_roleChanged();
+    return true;
+}
+
+bool ConsensusMember::persist(Effects& effects)
+{
+    if (effects.m_persistVote && !m_storage->saveMeta({ m_raft.m_self, m_raft.m_term, m_raft.m_vote }))
+        return stop(m_storage->lastReason());
+    if (effects.m_install) {
+        const SnapshotInfo& info = effects.m_install->m_info;
+        if (!m_storage->installSnapshot(info, effects.m_install->m_bytes))
+            return stop(m_storage->lastReason());
+        Reason reason;
+        if (!m_callbacks.m_restoreSnapshot(info.m_index, effects.m_install->m_bytes, reason))
+            return stop(reason);
+        m_delivered = info.m_index;
+    }
+    if (effects.m_truncateFrom && !m_storage->truncateFrom(*effects.m_truncateFrom))
+        return stop(m_storage->lastReason());
+    return m_storage->append(effects.m_append) || stop(m_storage->lastReason());
+}
+
+void ConsensusMember::sendMessages(Effects& effects)
+{
+    for (RaftMessage& message : effects.m_messages) {
+        if (auto* chunk = std::get_if<SnapshotChunk>(&message.m_body)) {
+            if (!fillChunk(*chunk))
+                return;
+        }
+        message.m_fromAddress = m_settings.m_address;
+        const std::string address = addressOf(message.m_to);
+        if (!address.empty())
+            m_callbacks.m_send(address, encodeMessage(message));
+    }
+}
+
+bool ConsensusMember::fillChunk(SnapshotChunk& chunk)
+{
+    const LogIndex index = chunk.m_info.m_index;
+    auto& reader = m_sending[index];
+    if (!reader)
+        reader = m_storage->snapshot();
+    if (!reader || reader->info().m_index != index)
+        return stop({ ResultCode::InternalError, "snapshot " + std::to_string(index.value()) + " is not available" });
+    Reason reason;
+    auto bytes = reader->read(chunk.m_offset, chunk.m_length, reason);
+    if (!bytes)
+        return stop(reason);
+    chunk.m_bytes = std::move(*bytes);
+    return true;
+}
+
+void ConsensusMember::deliver(const std::vector<LogEntryPtr>& entries)
+{
+    for (const LogEntryPtr& entry : entries) {
+        m_delivered = entry->m_index;
+        if (const auto* bytes = std::get_if<std::string>(&entry->m_body))
+            m_callbacks.m_apply(entry->m_index, *bytes);
+    }
+}
+
+bool ConsensusMember::takeSnapshotIfDue(MonotonicTime now)
+{
+    if (m_delivered.value() - m_raft.m_log.m_snapshot.m_index.value() < m_settings.m_snapshotInterval)
+        return true;
+    const std::string bytes = m_callbacks.m_takeSnapshot();
+    SnapshotInfo info;
+    info.m_index = m_delivered;
+    info.m_term = termAt(m_raft.m_log, m_delivered);
+    info.m_configuration = configurationAt(m_raft.m_log, m_delivered);
+    info.m_size = bytes.size();
+    info.m_checksum = hashBytes(bytes);
+    // Readers of the snapshot before stay open until their transfers end.
+    std::set<LogIndex> wanted;
+    for (const auto& [id, progress] : m_raft.m_progress) {
+        if (progress.m_transfer)
+            wanted.insert(progress.m_transfer->m_info.m_index);
+    }
+    for (auto it = m_sending.begin(); it != m_sending.end();)
+        it = wanted.count(it->first) ? std::next(it) : m_sending.erase(it);
+    if (!m_storage->saveSnapshot(info, bytes))
+        return stop(m_storage->lastReason());
+    step(m_raft, SnapshotTakenEvent { std::move(info) }, now);
+    return true;
+}
+
+void ConsensusMember::tick(MonotonicTime now)
+{
+    flush(now);
+    if (!run(TickEvent {}, now))
+        return;
+    runBootstrap(now);
+    runInvitations(now);
+    flush(now);
+}
+
+bool ConsensusMember::receive(std::string_view frame, MonotonicTime now)
+{
+    if (m_failed)
+        return false;
+    flush(now);
+    const auto message = decodeMessage(frame, m_reason);
+    if (!message)
+        return false;
+    const bool handled = dispatch(*message, now);
+    flush(now);
+    return handled;
+}
+
+bool ConsensusMember::dispatch(const RaftMessage& message, MonotonicTime now)
+{
+    constexpr std::size_t kMaxAddresses = 256; // strangers must not fill the memory
+    if (!message.m_fromAddress.empty()
+        && (m_addresses.size() < kMaxAddresses || findMember(latestConfiguration(m_raft.m_log), message.m_from)))
+        m_addresses[message.m_from] = message.m_fromAddress;
+    if (message.m_to != MemberId() && message.m_to != m_raft.m_self)
+        return true; // for an earlier incarnation of this VM
+    if (!isMembershipBody(message.m_body))
+        return run(MessageEvent { message }, now);
+    if (std::holds_alternative<StatusQuery>(message.m_body))
+        sendBody(message.m_fromAddress, message.m_from, statusOf(m_bootstrap, m_raft, leaderAddress()));
+    else if (const auto* status = std::get_if<StatusAnswer>(&message.m_body)) {
+        handleStatusAnswer(m_bootstrap, message, *status, now);
+        handleInvited(message, *status, now);
+    } else if (const auto* join = std::get_if<JoinRequest>(&message.m_body))
+        handleJoin(message, *join, now);
+    else if (const auto* answer = std::get_if<JoinAnswer>(&message.m_body))
+        handleJoinAnswer(*answer);
+    return !m_failed;
+}
+
+std::optional<LogIndex> ConsensusMember::propose(std::string entry, MonotonicTime now)
+{
+    if (m_failed)
+        return std::nullopt;
+    if (m_raft.m_role != Role::Leader) {
+        refuse(ResultCode::NotLeader, "this member does not lead the log");
+        return std::nullopt;
+    }
+    if (entry.size() > m_settings.m_maxEntryBytes) {
+        refuse(ResultCode::BodyTooLarge,
+            "an entry of " + std::to_string(entry.size()) + " bytes exceeds the limit of "
+                + std::to_string(m_settings.m_maxEntryBytes));
+        return std::nullopt;
+    }
+    const std::uint64_t uncommitted = lastIndex(m_raft.m_log) - m_raft.m_commit + m_proposals.size();
+    if (uncommitted >= m_settings.m_maxUncommittedEntries) {
+        refuse(ResultCode::Overloaded, std::to_string(uncommitted) + " entries wait for a majority; try again later");
+        return std::nullopt;
+    }
+    m_proposals.push_back(std::move(entry));
+    const LogIndex index = lastIndex(m_raft.m_log) + m_proposals.size();
+    if (m_callbacks.m_scheduleFlush) {
+        if (m_proposals.size() == 1)
+            m_callbacks.m_scheduleFlush();
+    } else if (!m_busy)
+        flush(now);
+    if (m_failed)
+        return std::nullopt;
+    return index;
+}
+
+void ConsensusMember::flush(MonotonicTime now)
+{
+    while (!m_proposals.empty() && !m_busy && !m_failed) {
+        ProposalEvent event { std::move(m_proposals) };
+        m_proposals.clear();
+        run(event, now);
+    }
+}
+
+bool ConsensusMember::promote(const MemberId& member, MonotonicTime now)
+{
+    flush(now);
+    return run(PromoteEvent { member }, now);
+}
+
+bool ConsensusMember::removeMember(const MemberId& member, MonotonicTime now)
+{
+    flush(now);
+    return run(RemoveMemberEvent { member }, now);
+}
+
+MemberId ConsensusMember::leader() const { return m_failed ? MemberId() : m_raft.m_leader; }
+
+std::string ConsensusMember::leaderAddress() const
+{
+    const MemberId id = leader();
+    return id == MemberId() ? std::string() : addressOf(id);
+}
+
+std::string ConsensusMember::addressOf(const MemberId& member) const
+{
+    if (member == m_raft.m_self)
+        return m_settings.m_address;
+    // What the member itself said last is newer than what the log says.
+    const auto heard = m_addresses.find(member);
+    if (heard != m_addresses.end())
+        return heard->second;
+    const MemberRecord* record = findMember(latestConfiguration(m_raft.m_log), member);
+    return record ? record->m_address : std::string();
+}
+
+std::optional<MonotonicTime> ConsensusMember::confirmedRoundStart() const
+{
+    return role() == Role::Leader ? m_raft.m_confirmedRoundStart : std::nullopt;
+}
+
+std::optional<MonotonicTime> ConsensusMember::leaderSince() const
+{
+    return role() == Role::Leader ? std::optional<MonotonicTime>(m_raft.m_leaderSince) : std::nullopt;
+}
+
+bool ConsensusMember::readyToServe() const { return role() == Role::Leader && m_delivered >= m_raft.m_termStart; }
+
+std::vector<MemberView> ConsensusMember::members(MonotonicTime now) const
+{
+    std::vector<MemberView> views;
+    const LogIndex last = lastIndex(m_raft.m_log);
+    for (const MemberRecord& member : latestConfiguration(m_raft.m_log).m_members) {
+        MemberView view;
+        view.m_member = member;
+        view.m_leader = member.m_id == leader();
+        view.m_self = member.m_id == m_raft.m_self;
+        if (view.m_self) {
+            view.m_match = last;
+            if (view.m_leader)
+                view.m_lag = 0;
+        }
+        const auto found = m_raft.m_progress.find(member.m_id);
+        if (found != m_raft.m_progress.end()) {
+            const MemberProgress& progress = found->second;
+            view.m_match = progress.m_match;
+            view.m_lag = last - progress.m_match;
+            if (progress.m_lastHeard)
+                view.m_silence = std::chrono::duration_cast<Milliseconds>(now - *progress.m_lastHeard);
+            view.m_receivingSnapshot = progress.m_transfer.has_value();
+        }
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/consensus/logstorageload.cpp
@@ -0,0 +1,328 @@
+#include "consensus/logstorage.h"
+
+#include "base/hash.h"
+#include "consensus/raftcodec.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <fcntl.h>
+#include <filesystem>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace flamingo {
+
+namespace {
+
+constexpr std::string_view kMetaName = "meta";
+constexpr std::string_view kMetaMagic = "FLMMETA1";
+constexpr std::string_view kSnapshotMagic = "FLMSNAP1";
+constexpr std::size_t kNumber = 8;
+constexpr std::size_t kSnapshotHead = 3 * kNumber; // magic, length of the description, its xxHash
+
+bool hasAffixes(const std::string& name, std::string_view prefix, std::string_view suffix)
+{
+    return name.size() > prefix.size() + suffix.size() && name.compare(0, prefix.size(), prefix) == 0
+        && name.compare(name.size() - suffix.size(), suffix.size(), suffix) == 0;
+}
+
+std::string snapshotName(LogIndex index)
+{
+    constexpr std::size_t kDigits = 20;
+    const std::string number = std::to_string(index.value());
+    return "snapshot-" + std::string(kDigits - number.size(), '0') + number + ".snap";
+}
+
+void appendText(std::string& out, const std::string& text)
+{
+    appendNumber(out, text.size(), kNumber);
+    out += text;
+}
+
+bool takeText(std::string_view& bytes, std::string& text)
+{
+    if (bytes.size() < kNumber)
+        return false;
+    const std::uint64_t size = numberAt(bytes, 0, kNumber);
+    bytes.remove_prefix(kNumber);
+    if (size > bytes.size())
+        return false;
+    text = std::string(bytes.substr(0, size));
+    bytes.remove_prefix(size);
+    return true;
+}
+
+Reason damaged(const std::string& path, const std::string& what)
+{
+    return Reason { ResultCode::StorageFailed,
+        path + ": " + what + ". Move the data folder away to let this VM rejoin with an empty one" };
+}
+
+} // namespace
+
+bool LogStorage::load()
+{
+    std::error_code error;
+    const bool created = std::filesystem::create_directories(m_folder, error);
+    Reason reason;
+    if (created) {
+        const std::string parent = std::filesystem::path(m_folder).parent_path().string();
+        if (!syncFolder(parent.empty() ? "." : parent, m_hooks, reason))
+            return fail(reason);
+    }
+    m_lock = openFile(m_folder + "/lock", O_RDWR | O_CREAT, reason);
+    if (!m_lock.isOpen())
+        return fail(reason);
+    if (::flock(m_lock.descriptor(), LOCK_EX | LOCK_NB) != 0) {
+        if (errno == EWOULDBLOCK)
+            return fail({ ResultCode::StorageFailed, m_folder + " is in use by another process" });
+        return fail(systemFailure("lock", m_folder));
+    }
+    std::vector<std::string> snapshots;
+    std::vector<std::string> segments;
+    for (std::filesystem::directory_iterator it(m_folder, error), end; !error && it != end; it.increment(error)) {
+        const std::string name = it->path().filename().string();
+        if (hasAffixes(name, "", ".tmp") && !removeFile(it->path().string(), reason))
+            return fail(reason);
+        if (hasAffixes(name, "snapshot-", ".snap"))
+            snapshots.push_back(name);
+        else if (hasAffixes(name, "log-", ".seg"))
+            segments.push_back(name);
+    }
+    if (error)
+        return fail({ ResultCode::StorageFailed, "cannot list " + m_folder + ": " + error.message() });
+    // Names have a fixed number of digits, so they sort by index.
+    std::sort(snapshots.begin(), snapshots.end());
+    std::sort(segments.begin(), segments.end());
+    if (!loadMeta())
+        return false;
+    // A new id with an old log could vote twice in a term.
+    if (!m_meta && (!snapshots.empty() || !segments.empty()))
+        return fail(damaged(m_folder, "log files without the file \"meta\""));
+    return loadSnapshot(snapshots) && loadSegments(segments) && checkContinuity();
+}
+
+bool LogStorage::loadMeta()
+{
+    const std::string path = m_folder + "/" + std::string(kMetaName);
+    std::error_code error;
+    if (!std::filesystem::exists(path, error))
+        return !error || fail({ ResultCode::StorageFailed, "cannot read " + path + ": " + error.message() });
+    Reason reason;
+    const auto content = readFile(path, reason);
+    if (!content)
+        return fail(reason);
+    std::string_view bytes = *content;
+    constexpr std::size_t kHead = 2 * kNumber;
+    if (bytes.size() < kHead || bytes.substr(0, kNumber) != kMetaMagic
+        || numberAt(bytes, kNumber, kNumber) != hashBytes(bytes.substr(kHead)))
+        return fail(damaged(path, "the checksum is wrong"));
+    bytes.remove_prefix(kHead);
+    std::string member;
+    std::string vote;
+    if (!takeText(bytes, member) || !takeText(bytes, vote) || bytes.size() != kNumber)
+        return fail(damaged(path, "the content is not valid"));
+    m_meta = Meta { MemberId(member), Term(numberAt(bytes, 0, kNumber)), MemberId(vote) };
+    return true;
+}
+
+bool LogStorage::saveMeta(const Meta& meta)
+{
+    if (!usable())
+        return false;
+    std::string body;
+    appendText(body, meta.m_member.value());
+    appendText(body, meta.m_vote.value());
+    appendNumber(body, meta.m_term.value(), kNumber);
+    std::string head(kMetaMagic);
+    appendNumber(head, hashBytes(body), kNumber);
+    Reason reason;
+    if (!replaceFile(m_folder, std::string(kMetaName), { head, body }, m_hooks, reason))
+        return fail(reason);
+    m_meta = meta;
+    return true;
+}
+
+bool LogStorage::loadSnapshot(const std::vector<std::string>& names)
+{
+    if (names.empty())
+        return true;
+    // A snapshot gets its name only when it is durable, so the latest one has to be whole.
+    m_snapshotName = names.back();
+    m_snapshot = openSnapshot(m_snapshotName);
+    if (!m_snapshot)
+        return false;
+    Reason reason;
+    const auto bytes = m_snapshot->read(0, m_snapshot->info().m_size, reason);
+    if (!bytes)
+        return fail(reason);
+    if (hashBytes(*bytes) != m_snapshot->info().m_checksum)
+        return fail(damaged(m_folder + "/" + m_snapshotName, "the checksum is wrong"));
+    for (std::size_t i = 0; i + 1 < names.size(); ++i) {
+        if (!removeFile(m_folder + "/" + names[i], reason))
+            return fail(reason);
+    }
+    return true;
+}
+
+std::shared_ptr<const SnapshotReader> LogStorage::openSnapshot(const std::string& name)
+{
+    const std::string path = m_folder + "/" + name;
+    Reason reason;
+    FileHandle file = openFile(path, O_RDONLY, reason);
+    if (!file.isOpen()) {
+        fail(reason);
+        return nullptr;
+    }
+    std::string head(kSnapshotHead, '\0');
+    const off_t size = ::lseek(file.descriptor(), 0, SEEK_END);
+    if (::pread(file.descriptor(), &head[0], head.size(), 0) != static_cast<ssize_t>(head.size())
+        || head.compare(0, kNumber, kSnapshotMagic) != 0) {
+        fail(damaged(path, "the header is not valid"));
+        return nullptr;
+    }
+    const std::uint64_t length = numberAt(head, kNumber, kNumber);
+    if (length > static_cast<std::uint64_t>(size) - kSnapshotHead) {
+        fail(damaged(path, "the header is not valid"));
+        return nullptr;
+    }
+    std::string description(length, '\0');
+    const ssize_t count = ::pread(file.descriptor(), &description[0], length, kSnapshotHead);
+    if (count != static_cast<ssize_t>(length) || hashBytes(description) != numberAt(head, 2 * kNumber, kNumber)) {
+        fail(damaged(path, "the checksum of the description is wrong"));
+        return nullptr;
+    }
+    auto info = decodeSnapshotInfo(description, reason);
+    if (!info || static_cast<std::uint64_t>(size) != kSnapshotHead + length + info->m_size) {
+        fail(damaged(path, info ? "the length is wrong" : reason.m_text));
+        return nullptr;
+    }
+    return std::make_shared<const SnapshotReader>(std::move(file), path, kSnapshotHead + length, std::move(*info));
+}
+
+bool LogStorage::writeSnapshot(const SnapshotInfo& info, const std::string& bytes)
+{
+    const std::string description = encodeSnapshotInfo(info);
+    std::string head(kSnapshotMagic);
+    appendNumber(head, description.size(), kNumber);
+    appendNumber(head, hashBytes(description), kNumber);
+    const std::string name = snapshotName(info.m_index);
+    Reason reason;
+    if (!replaceFile(m_folder, name, { head, description, bytes }, m_hooks, reason))
+        return fail(reason);
+    const std::string previous = m_snapshotName;
+    m_snapshot = openSnapshot(name);
+    if (!m_snapshot)
+        return false;
+    m_snapshotName = name;
+    if (!previous.empty() && previous != name && !removeFile(m_folder + "/" + previous, reason))
+        return fail(reason);
+    return true;
+}
+
+bool LogStorage::loadSegments(const std::vector<std::string>& names)
+{
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        if (!loadSegment(names[i], i + 1 == names.size()))
+            return false;
+    }
+    return true;
+}
+
+bool LogStorage::loadSegment(const std::string& name, bool last)
+{
+    const std::string path = m_folder + "/" + name;
+    std::uint64_t first = 0;
+    constexpr std::size_t kPrefix = 4; // "log-"
+    std::from_chars(name.data() + kPrefix, name.data() + name.size(), first);
+    Reason reason;
+    const auto bytes = readFile(path, reason);
+    if (!bytes)
+        return fail(reason);
+    auto contents = readSegment(*bytes, LogIndex(first), path, reason);
+    if (!contents)
+        return fail(reason);
+    // The next segment was started after all of this one was synced.
+    if (contents->m_torn && !last)
+        return fail(damaged(path, "the segment is cut off at byte " + std::to_string(contents->m_goodBytes)));
+    if (!m_segments.empty() && endOf(m_segments.back()) != LogIndex(first))
+        return fail(
+            damaged(path, "log entries from " + std::to_string(endOf(m_segments.back()).value()) + " are missing"));
+    if (contents->m_entries.empty())
+        return removeFile(path, reason) || fail(reason);
+    if (contents->m_torn) {
+        const FileHandle file = openFile(path, O_WRONLY, reason);
+        if (!file.isOpen())
+            return fail(reason);
+        if (::ftruncate(file.descriptor(), static_cast<off_t>(contents->m_goodBytes)) != 0)
+            return fail(systemFailure("truncate", path));
+        if (!syncFile(file.descriptor(), m_hooks, path, reason))
+            return fail(reason);
+    }
+    Segment segment;
+    segment.m_path = path;
+    segment.m_first = LogIndex(first);
+    segment.m_offsets = std::move(contents->m_offsets);
+    segment.m_size = contents->m_goodBytes;
+    for (LogEntryPtr& entry : contents->m_entries) {
+        segment.m_terms.push_back(entry->m_term);
+        m_entries.push_back(std::move(entry));
+    }
+    m_segments.push_back(std::move(segment));
+    return true;
+}
+
+bool LogStorage::checkContinuity()
+{
+    if (m_segments.empty())
+        return true;
+    const SnapshotInfo none;
+    const SnapshotInfo& snapshot = m_snapshot ? m_snapshot->info() : none;
+    const LogIndex first = m_segments.front().m_first;
+    const LogIndex end = endOf(m_segments.back());
+    if (first > snapshot.m_index + 1)
+        return fail(damaged(m_folder,
+            "log entries " + std::to_string(snapshot.m_index.value() + 1) + " to " + std::to_string(first.value() - 1)
+                + " are missing"));
+    // A crash while a snapshot of the leader was being installed leaves the log that it replaces.
+    const bool superseded = end <= snapshot.m_index
+        || (first <= snapshot.m_index && m_entries[snapshot.m_index - first]->m_term != snapshot.m_term);
+    if (superseded) {
+        m_entries.clear();
+        return dropAllSegments();
+    }
+    if (first <= snapshot.m_index) {
+        m_entries.erase(
+            m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(snapshot.m_index + 1 - first));
+    }
+    return dropSegmentsUpTo(snapshot.m_index);
+}
+
+SnapshotReader::SnapshotReader(FileHandle file, std::string path, std::uint64_t dataOffset, SnapshotInfo info)
+    : m_file(std::move(file))
+    , m_path(std::move(path))
+    , m_dataOffset(dataOffset)
+    , m_info(std::move(info))
+{
+}
+
+std::optional<std::string> SnapshotReader::read(std::uint64_t offset, std::size_t length, Reason& reason) const
+{
+    std::string bytes(length, '\0');
+    std::size_t done = 0;
+    while (done < length) {
+        const ssize_t count = ::pread(
+            m_file.descriptor(), &bytes[done], length - done, static_cast<off_t>(m_dataOffset + offset + done));
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0) {
+            reason = systemFailure("read", m_path);
+            return std::nullopt;
+        }
+        done += static_cast<std::size_t>(count);
+    }
+    return bytes;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/consensus/membersettings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/ids.h"
+#include "consensus/initialmember.h"
+#include "consensus/raftoptions.h"
+#include "consensus/storagehooks.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace flamingo {
+
+/** What a control VM's settings say about its part in the replicated log. */
+struct MemberSettings {
+    std::string m_folder; // data folder of the log; created if absent
+    VmId m_vm;
+    std::string m_address; // IP address and port at which the other members reach this one
+    std::vector<InitialMember> m_initialMembers;
+    bool m_bootstrapAllowed = false; // it suffices that one of the initial members allows it
+    // Must be unpredictable: the incarnation in the member id and the election timeouts are derived from it.
+    std::uint64_t m_seed = 0;
+    std::uint64_t m_snapshotInterval = 256; // applied entries
+    std::size_t m_maxEntryBytes = std::size_t(4) << 20U;
+    std::size_t m_maxUncommittedEntries = 8192;
+    RaftOptions m_raft;
+    StorageHooks m_storage;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/consensus/raftcodec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/reason.h"
+#include "consensus/configuration.h"
+#include "consensus/logentry.h"
+#include "consensus/raftmessage.h"
+#include "consensus/snapshotinfo.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace flamingo {
+
+// A frame on a control link; larger ones are refused on receipt.
+constexpr std::size_t kMaxFrameBytes = std::size_t(8) << 20U;
+constexpr std::uint64_t kRaftProtocolVersion = 1;
+
+/** Returns the message as one CBOR map {"v": protocol version, "t": "raft", ...}. Thread-safe. */
+std::string encodeMessage(const RaftMessage& message);
+
+/** Returns the message in the frame, or nothing and a reason if the frame is not valid. Thread-safe. */
+std::optional<RaftMessage> decodeMessage(std::string_view frame, Reason& reason);
+
+// Parts that are stored in files.
+std::string encodeConfiguration(const Configuration& configuration);
+std::optional<Configuration> decodeConfiguration(std::string_view bytes, Reason& reason);
+std::string encodeSnapshotInfo(const SnapshotInfo& info);
+std::optional<SnapshotInfo> decodeSnapshotInfo(std::string_view bytes, Reason& reason);
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/consensus/raftleader.cpp
@@ -0,0 +1,233 @@
+#include "consensus/raftinternal.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace flamingo::detail {
+
+namespace {
+
+/**
+ * Returns the largest value that a majority of the voters has reached.
+ *
+ * The leader's own value is passed separately; it may be no voter while its removal is being committed.
+ */
+template <typename Value, typename Of>
+Value reachedByMajority(const RaftState& state, const Value& own, const Of& valueOf)
+{
+    const Configuration& configuration = latestConfiguration(state.m_log);
+    std::vector<Value> values;
+    for (const MemberRecord& member : configuration.m_members) {
+        if (!member.m_voter)
+            continue;
+        if (member.m_id == state.m_self) {
+            values.push_back(own);
+            continue;
+        }
+        const auto found = state.m_progress.find(member.m_id);
+        values.push_back(found == state.m_progress.end() ? Value() : valueOf(found->second));
+    }
+    const std::size_t quorum = quorumSize(configuration);
+    if (values.size() < quorum)
+        return Value();
+    std::sort(values.begin(), values.end(), [](const Value& a, const Value& b) { return a > b; });
+    return values[quorum - 1];
+}
+
+void sendChunk(RaftState& state, const MemberId& to, MemberProgress& progress, Effects& effects)
+{
+    MemberProgress::Transfer& transfer = *progress.m_transfer;
+    if (transfer.m_inFlight)
+        return;
+    SnapshotChunk chunk;
+    chunk.m_info = transfer.m_info;
+    chunk.m_offset = transfer.m_offset;
+    chunk.m_length = static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(state.m_options.m_snapshotChunkBytes, transfer.m_info.m_size - transfer.m_offset));
+    chunk.m_round = state.m_round;
+    transfer.m_inFlight = true;
+    sendTo(state, to, std::move(chunk), effects);
+}
+
+/** Sends what the member lacks; a heartbeat goes out even if that is nothing or the window is full. */
+void sendAppend(RaftState& state, const MemberId& to, MemberProgress& progress, bool heartbeat, Effects& effects)
+{
+    const RaftLog& log = state.m_log;
+    if (!progress.m_transfer && progress.m_next <= log.m_baseIndex)
+        progress.m_transfer = MemberProgress::Transfer { log.m_snapshot, 0, false };
+    if (progress.m_transfer) {
+        sendChunk(state, to, progress, effects);
+        return;
+    }
+    for (bool first = true;; first = false) {
+        if (progress.m_probing && progress.m_probeInFlight)
+            return;
+        AppendRequest request;
+        request.m_previousIndex = progress.m_next - 1;
+        request.m_previousTerm = termAt(log, request.m_previousIndex);
+        request.m_commit = state.m_commit;
+        request.m_round = state.m_round;
+        std::size_t bytes = 0;
+        LogIndex next = progress.m_next;
+        const LogIndex windowEnd = progress.m_match + state.m_options.m_maxUnackedEntries;
+        while (next <= lastIndex(log) && (progress.m_probing || next <= windowEnd)) {
+            const LogEntryPtr& entry = entryAt(log, next);
+            bytes += entryBytes(*entry);
+            if (!request.m_entries.empty() && bytes > state.m_options.m_maxAppendBytes)
+                break;
+            request.m_entries.push_back(entry);
+            next = next + 1;
+        }
+        if (request.m_entries.empty() && !(heartbeat && first))
+            return;
+        if (progress.m_probing)
+            progress.m_probeInFlight = true;
+        else
+            progress.m_next = next;
+        sendTo(state, to, std::move(request), effects);
+    }
+}
+
+/** Returns the sender's progress after recording that it was heard, or nullptr if the answer does not count. */
+MemberProgress* acceptAnswer(RaftState& state, const RaftMessage& message, std::uint64_t round, MonotonicTime now)
+{
+    if (state.m_role != Role::Leader || message.m_term != state.m_term)
+        return nullptr;
+    const auto found = state.m_progress.find(message.m_from);
+    if (found == state.m_progress.end() || round > state.m_round)
+        return nullptr;
+    found->second.m_lastHeard = now;
+    found->second.m_ackedRound = std::max(found->second.m_ackedRound, round);
+    updateConfirmedRound(state);
+    return &found->second;
+}
+
+void continueAfter(MemberProgress& progress, LogIndex match)
+{
+    progress.m_match = std::max(progress.m_match, match);
+    progress.m_next = std::max(progress.m_next, progress.m_match + 1);
+}
+
+} // namespace
+
+void appendOwn(RaftState& state, std::variant<NoopEntry, Configuration, std::string> body, Effects& effects)
+{
+    auto entry
+        = std::make_shared<const LogEntry>(LogEntry { lastIndex(state.m_log) + 1, state.m_term, std::move(body) });
+    appendEntry(state.m_log, entry);
+    effects.m_append.push_back(std::move(entry));
+}
+
+void startRound(RaftState& state, MonotonicTime now, Effects& effects)
+{
+    ++state.m_round;
+    state.m_rounds.push_back({ state.m_round, now });
+    state.m_nextHeartbeat = now + state.m_options.m_heartbeat;
+    for (auto& [id, progress] : state.m_progress) {
+        progress.m_probeInFlight = false;
+        if (progress.m_transfer)
+            progress.m_transfer->m_inFlight = false;
+        sendAppend(state, id, progress, true, effects);
+    }
+    updateConfirmedRound(state);
+}
+
+void replicateToAll(RaftState& state, Effects& effects)
+{
+    for (auto& [id, progress] : state.m_progress)
+        sendAppend(state, id, progress, false, effects);
+}
+
+void updateConfirmedRound(RaftState& state)
+{
+    const auto confirmed = reachedByMajority<std::uint64_t>(
+        state, state.m_round, [](const MemberProgress& progress) { return progress.m_ackedRound; });
+    while (!state.m_rounds.empty() && state.m_rounds.front().m_number <= confirmed) {
+        state.m_confirmedRoundStart = state.m_rounds.front().m_start;
+        state.m_rounds.pop_front();
+    }
+}
+
+// The leader counts its own entries at once: the driver makes them durable before it sends or applies anything
+// that follows from this step.
+void advanceCommit(RaftState& state, MonotonicTime now, Effects& effects)
+{
+    const auto reached = reachedByMajority<LogIndex>(
+        state, lastIndex(state.m_log), [](const MemberProgress& progress) { return progress.m_match; });
+    // Entries of earlier terms are committed only together with one of this term: a majority that holds them
+    // can still be outvoted by a member with a later term.
+    if (reached <= state.m_commit || termAt(state.m_log, reached) != state.m_term)
+        return;
+    state.m_commit = reached;
+    const bool configurationCommitted = latestConfigurationIndex(state.m_log) <= state.m_commit;
+    if (configurationCommitted && !isVoter(latestConfiguration(state.m_log), state.m_self))
+        becomeFollower(state, state.m_term, MemberId(), now, effects);
+}
+
+void syncProgress(RaftState& state)
+{
+    const Configuration& configuration = latestConfiguration(state.m_log);
+    for (const MemberRecord& member : configuration.m_members) {
+        if (member.m_id == state.m_self)
+            continue;
+        MemberProgress progress;
+        progress.m_next = lastIndex(state.m_log) + 1;
+        state.m_progress.emplace(member.m_id, progress);
+    }
+    for (auto it = state.m_progress.begin(); it != state.m_progress.end();)
+        it = findMember(configuration, it->first) ? std::next(it) : state.m_progress.erase(it);
+}
+
+void handleAppendAnswer(
+    RaftState& state, const RaftMessage& message, const AppendAnswer& answer, MonotonicTime now, Effects& effects)
+{
+    MemberProgress* progress = acceptAnswer(state, message, answer.m_round, now);
+    if (!progress || progress->m_transfer || answer.m_index > lastIndex(state.m_log))
+        return;
+    if (answer.m_matched) {
+        continueAfter(*progress, answer.m_index);
+        if (progress->m_probing) {
+            progress->m_probing = false;
+            progress->m_next = progress->m_match + 1;
+        }
+        advanceCommit(state, now, effects);
+    } else {
+        if (answer.m_index < progress->m_match)
+            return; // overtaken by a later answer
+        LogIndex hint = answer.m_index;
+        while (hint > state.m_log.m_baseIndex && termAt(state.m_log, hint) > answer.m_hintTerm)
+            hint = hint - 1;
+        progress->m_next = std::max(progress->m_match + 1, std::min(progress->m_next, hint + 1));
+        progress->m_probing = true;
+        progress->m_probeInFlight = false;
+    }
+    if (state.m_role == Role::Leader)
+        sendAppend(state, message.m_from, *progress, false, effects);
+}
+
+void handleSnapshotAnswer(
+    RaftState& state, const RaftMessage& message, const SnapshotAnswer& answer, MonotonicTime now, Effects& effects)
+{
+    MemberProgress* progress = acceptAnswer(state, message, answer.m_round, now);
+    if (!progress || !progress->m_transfer || progress->m_transfer->m_info.m_index != answer.m_index)
+        return;
+    MemberProgress::Transfer& transfer = *progress->m_transfer;
+    if (answer.m_done) {
+        const LogIndex index = transfer.m_info.m_index;
+        progress->m_transfer.reset();
+        continueAfter(*progress, index);
+        progress->m_next = progress->m_match + 1;
+        progress->m_probing = true;
+        progress->m_probeInFlight = false;
+        advanceCommit(state, now, effects);
+    } else if (answer.m_nextOffset <= transfer.m_info.m_size) {
+        if (transfer.m_inFlight && answer.m_nextOffset == transfer.m_offset)
+            return; // second answer to a chunk that was sent again; the next chunk is under way
+        transfer.m_offset = answer.m_nextOffset;
+        transfer.m_inFlight = false;
+    }
+    if (state.m_role == Role::Leader)
+        sendAppend(state, message.m_from, *progress, false, effects);
+}
+
+} // namespace flamingo::detail
--- /dev/null
+++ b/src/libflamingo/consensus/snapshotinfo.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "consensus/configuration.h"
+#include "consensus/logtypes.h"
+
+#include <cstdint>
+
+namespace flamingo {
+
+/** Describes a snapshot of the application's state and the log prefix that it replaces. */
+struct SnapshotInfo {
+    LogIndex m_index; // last entry that the snapshot contains; 0 for none
+    Term m_term;
+    Configuration m_configuration; // in force at m_index
+    std::uint64_t m_size = 0; // bytes
+    std::uint64_t m_checksum = 0; // xxHash of the bytes
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/consensus/tests/electiontest.cpp
@@ -0,0 +1,117 @@
+#include "testcluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+using namespace flamingo::test;
+
+// Guards against two leaders in a term, elections that do not end, and leases granted by a leader that is cut off.
+TEST_CASE("Three members form a cluster and elect a leader")
+{
+    TestCluster cluster(3);
+    cluster.startAll();
+    REQUIRE(cluster.awaitLeader());
+    REQUIRE(cluster.runUntil([&] { return cluster.repaired(); }));
+    const int first = cluster.leader();
+    ConsensusMember& old = *cluster.m_vms[first].m_member;
+    REQUIRE(cluster.proposeAndAwait("one"));
+
+    SECTION("all members know the leader and its address")
+    {
+        REQUIRE(cluster.runUntil([&] {
+            for (const TestVm& vm : cluster.m_vms) {
+                if (vm.m_member->leaderAddress() != cluster.m_vms[first].m_address)
+                    return false;
+            }
+            return true;
+        }));
+    }
+
+    SECTION("the leader's rounds are confirmed while it has a majority")
+    {
+        for (int i = 0; i < 100; ++i) {
+            cluster.run(Milliseconds(50));
+            REQUIRE(old.confirmedRoundStart());
+            REQUIRE(cluster.m_now - *old.confirmedRoundStart() <= Milliseconds(400));
+        }
+        REQUIRE(cluster.leader() == first);
+    }
+
+    SECTION("a leader that is cut off is confirmed no longer and steps down")
+    {
+        const MonotonicTime cut = cluster.m_now;
+        cluster.isolate(first);
+        REQUIRE(cluster.runUntil([&] { return old.role() != Role::Leader; }, Milliseconds(1000)));
+        REQUIRE_FALSE(old.confirmedRoundStart());
+        REQUIRE_FALSE(old.propose("lost", cluster.m_now));
+        REQUIRE(old.lastReason().m_code == ResultCode::NotLeader);
+        REQUIRE(cluster.awaitLeader());
+        REQUIRE(cluster.m_now - cut < Milliseconds(3000));
+
+        SECTION("the others go on, and the returning member does not depose their leader")
+        {
+            REQUIRE(cluster.proposeAndAwait("two"));
+            cluster.run(Milliseconds(60'000));
+            const int second = cluster.leader();
+            REQUIRE(second != first);
+            const Term term = cluster.m_vms[second].m_member->term();
+            cluster.heal();
+            cluster.run(Milliseconds(5000));
+            REQUIRE(cluster.leader() == second);
+            REQUIRE(cluster.m_vms[second].m_member->term() == term);
+            REQUIRE(cluster.settled());
+        }
+    }
+
+    SECTION("a frozen leader steps down when it goes on, before it confirms anything")
+    {
+        cluster.m_vms[first].m_frozen = true;
+        REQUIRE(cluster.runUntil([&] { return cluster.leader() >= 0; }));
+        cluster.run(Milliseconds(3000));
+        cluster.m_vms[first].m_frozen = false;
+        cluster.run(TestCluster::kStep);
+        REQUIRE(old.role() != Role::Leader);
+    }
+
+    SECTION("a follower cut off for long does not raise the term")
+    {
+        const int follower = (first + 1) % 3;
+        const Term term = old.term();
+        cluster.isolate(follower);
+        cluster.run(Milliseconds(30'000));
+        REQUIRE(cluster.m_vms[follower].m_member->term() == term);
+        cluster.heal();
+        cluster.run(Milliseconds(3000));
+        REQUIRE(cluster.leader() == first);
+        REQUIRE(old.term() == term);
+    }
+
+    SECTION("no member accepts entries without a majority")
+    {
+        cluster.crash((first + 1) % 3);
+        cluster.crash((first + 2) % 3);
+        const std::uint64_t applied = cluster.maxApplied();
+        old.propose("uncommitted", cluster.m_now);
+        cluster.run(Milliseconds(5000));
+        REQUIRE(cluster.maxApplied() == applied);
+        REQUIRE(cluster.leader() == -1);
+    }
+    REQUIRE(cluster.m_violation.empty());
+}
+
+// Guards against elections that never end because all members campaign at once.
+TEST_CASE("Split votes resolve for any seed")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        TestCluster cluster(5, seed);
+        cluster.m_maxDelay = Milliseconds(100);
+        cluster.startAll();
+        REQUIRE(cluster.awaitLeader());
+        REQUIRE(cluster.runUntil([&] { return cluster.repaired(); }));
+        cluster.crash(cluster.leader());
+        const MonotonicTime lost = cluster.m_now;
+        REQUIRE(cluster.awaitLeader());
+        REQUIRE(cluster.m_now - lost < Milliseconds(10'000));
+        REQUIRE(cluster.m_violation.empty());
+    }
+}
--- /dev/null
+++ b/src/libflamingo/consensus/tests/testcluster.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "consensus/consensusmember.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace flamingo::test {
+
+/** Files of one VM, of which a power failure keeps what was synced and a random part of the rest. */
+class TestDisk {
+public:
+    TestDisk();
+    ~TestDisk();
+    TestDisk(const TestDisk&) = delete;
+    TestDisk& operator=(const TestDisk&) = delete;
+
+    const std::string& folder() const { return m_folder; }
+    StorageHooks hooks();
+    void loseUnsynced(std::mt19937_64& random);
+    void wipe();
+
+    int m_callsUntilFailure = -1; // writes and syncs that still succeed; -1 for no limit
+    int m_syncs = 0;
+
+private:
+    bool allowed();
+
+    std::string m_folder;
+    std::map<std::uint64_t, std::uint64_t> m_synced; // durable size by inode
+};
+
+/** One VM with a member whose application keeps the list of applied entries. */
+struct TestVm {
+    VmId m_vm;
+    std::string m_address;
+    std::unique_ptr<TestDisk> m_disk;
+    std::unique_ptr<ConsensusMember> m_member;
+    std::vector<std::pair<std::uint64_t, std::string>> m_applied;
+    std::uint64_t m_appliedSinceStart = 0; // by m_apply, without those inside a restored snapshot
+    bool m_frozen = false;
+};
+
+/**
+ * Members on a simulated network and clock, deterministic for a seed.
+ *
+ * Each step checks: one leader in each term; each index applied with the same bytes everywhere and in order; a
+ * leader is not confirmed by a round sent after a later leader began. The first violation is kept.
+ */
+class TestCluster {
+public:
+    explicit TestCluster(int vms, std::uint64_t seed = 1);
+
+    void start(int vm);
+    void startAll();
+    void crash(int vm); // power failure
+    void crashAndLoseDisk(int vm);
+    void addVm(); // not listed by the others; lists all VMs itself
+
+    void run(Milliseconds duration);
+    /** Runs until the condition holds; returns false after the limit. */
+    template <typename Condition> bool runUntil(const Condition& condition, Milliseconds limit = Milliseconds(30000))
+    {
+        for (Milliseconds passed { 0 }; passed < limit && m_violation.empty(); passed += kStep) {
+            if (condition())
+                return true;
+            run(kStep);
+        }
+        return condition();
+    }
+
+    /** Returns the VM that serves as leader, or -1. With several (one cut off), the one of the latest term. */
+    int leader() const;
+    bool awaitLeader()
+    {
+        return runUntil([this] { return leader() >= 0; });
+    }
+    /** Proposes at the current leader. */
+    std::optional<LogIndex> propose(const std::string& entry);
+    bool proposeAndAwait(const std::string& entry);
+    /** Returns whether all running members applied the same and the leader has nothing uncommitted. */
+    bool settled() const;
+    /** Returns whether the leader's configuration has exactly the running members, all voters. */
+    bool repaired() const;
+    std::uint64_t maxApplied() const { return m_history.empty() ? 0 : m_history.rbegin()->first; }
+
+    void isolate(int vm);
+    void partition(const std::set<int>& side);
+    void heal() { m_blocked.clear(); }
+
+    static constexpr Milliseconds kStep { 10 };
+
+    std::vector<TestVm> m_vms;
+    std::mt19937_64 m_random;
+    MonotonicTime m_now { std::chrono::seconds(1000) };
+    int m_lossPercent = 0;
+    int m_duplicatePercent = 0;
+    Milliseconds m_maxDelay { 5 };
+    std::uint64_t m_snapshotInterval = 256;
+    RaftOptions m_options;
+    std::string m_violation;
+    std::uint64_t m_framesSent = 0;
+
+private:
+    struct Frame {
+        std::string m_from;
+        std::string m_to;
+        std::string m_bytes;
+    };
+
+    MemberSettings settingsOf(int vm);
+    MemberCallbacks callbacksOf(int vm);
+    void send(const std::string& from, const std::string& to, const std::string& bytes);
+    void deliverDue();
+    void check();
+    void fail(const std::string& what);
+    int vmAt(const std::string& address) const;
+    int percent() { return static_cast<int>(m_random() % 100); }
+
+    std::vector<InitialMember> m_initial;
+    std::multimap<MonotonicTime, Frame> m_frames;
+    std::set<std::pair<std::string, std::string>> m_blocked;
+    std::map<std::uint64_t, std::string> m_history; // application entries by index
+    std::map<std::uint64_t, MemberId> m_leaders; // by term
+    std::map<std::uint64_t, MonotonicTime> m_leaderSince; // by term
+};
+
+} // namespace flamingo::test
