Add the HTTP client for endpoints

Sends to endpoints need a client that never resends by itself, keeps each endpoint within its connection share and gives up connections that went silent. EndpointClient pools keep-alive connections for each endpoint, queues calls beyond the share in order, and reports NotSent only when no byte left. A connection closed on this side counts against the share until the endpoint has closed it too, since the endpoint counts it until then.

--- /dev/null
+++ b/src/libflamingo/endpoint/callhandle.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strongvalue.h"
+
+#include <cstdint>
+
+namespace flamingo {
+
+/** Names one started call of an EndpointClient; never reused by the same client. */
+using CallHandle = StrongValue<struct CallHandleTag, std::uint64_t>;
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -0,0 +1,560 @@
+#include "endpoint/endpointclient.h"
+
+#include "endpoint/connectionpool.h"
+#include "endpoint/httpconnectionowner.h"
+#include "endpoint/requestheader.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <queue>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace flamingo {
+
+namespace asio = boost::asio;
+using detail::ConnectionPool;
+using detail::HttpConnection;
+
+namespace {
+
+// A connection that answered or connected within this time is taken to work.
+constexpr Milliseconds provenFor { 1000 };
+
+struct RunningCall {
+    CallHandle m_handle;
+    EndpointCall m_call;
+    EndpointReplyHandler m_handler;
+    MonotonicTime m_startedAt;
+    MonotonicTime m_sentAt;
+    ConnectionPool* m_pool = nullptr;
+    HttpConnection* m_connection = nullptr; // none while queued
+};
+
+struct Deadline {
+    MonotonicTime m_at;
+    CallHandle m_call;
+
+    friend bool operator>(const Deadline& a, const Deadline& b) { return a.m_at > b.m_at; }
+};
+
+Microseconds since(MonotonicTime start)
+{
+    return std::chrono::duration_cast<Microseconds>(std::chrono::steady_clock::now() - start);
+}
+
+EndpointReply failure(CallOutcome outcome, std::string text)
+{
+    EndpointReply reply;
+    reply.m_outcome = outcome;
+    reply.m_text = std::move(text);
+    return reply;
+}
+
+/** Returns the idle connection that was used last, or none; only a proven one if required. */
+HttpConnection* findIdle(const ConnectionPool& pool, bool proven)
+{
+    if (pool.m_idle.empty())
+        return nullptr;
+    HttpConnection* newest = pool.m_idle.back();
+    if (proven && std::chrono::steady_clock::now() - newest->note().m_provenAt > provenFor)
+        return nullptr;
+    return newest;
+}
+
+void removeIdle(ConnectionPool& pool, const HttpConnection& connection)
+{
+    pool.m_idle.erase(std::remove(pool.m_idle.begin(), pool.m_idle.end(), &connection), pool.m_idle.end());
+}
+
+} // namespace
+
+class EndpointClient::Impl final : public detail::HttpConnectionOwner {
+public:
+    explicit Impl(asio::io_context& context)
+        : m_context(context)
+        , m_timer(context)
+    {
+    }
+
+    ~Impl() override
+    {
+        for (auto& entry : m_pools) {
+            for (auto& connection : entry.second.m_connections)
+                connection->detach();
+        }
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    CallHandle start(EndpointCall call, EndpointReplyHandler handler)
+    {
+        const CallHandle handle(++m_lastHandle);
+        RunningCall& running = m_calls[handle];
+        running.m_handle = handle;
+        running.m_call = std::move(call);
+        running.m_handler = std::move(handler);
+        running.m_startedAt = std::chrono::steady_clock::now();
+        ++m_counters.m_callsStarted;
+        ++m_counters.m_callsInFlight;
+        if (!detail::hasValidHeaderTexts(running.m_call)) {
+            post(running, failure(CallOutcome::NotSent, "request id, kind or path does not fit into an HTTP header"));
+            return handle;
+        }
+        ConnectionPool& pool = findPool(running.m_call.m_endpoint);
+        if (pool.m_queue.size() >= pool.m_limits.m_queuedCalls) {
+            post(running, failure(CallOutcome::NotSent, "too many calls wait for a connection"));
+            return handle;
+        }
+        running.m_pool = &pool;
+        useAddress(pool, running.m_call.m_address, running.m_call.m_port);
+        pool.m_queue.push_back(handle);
+        addDeadline({ running.m_call.m_deadline, handle });
+        pump(pool);
+        return handle;
+    }
+
+    void cancel(CallHandle handle)
+    {
+        const auto found = m_calls.find(handle);
+        if (found == m_calls.end())
+            return;
+        abandon(found->second, failure(CallOutcome::Cancelled, "cancelled"));
+    }
+
+    void setLimits(const EndpointId& endpoint, const EndpointLimits& limits)
+    {
+        ConnectionPool& pool = findPool(endpoint);
+        pool.m_limits = limits;
+        pool.m_configured = true;
+        pool.m_forgotten = false;
+        while (pool.m_connections.size() - pool.m_closing > limits.m_connections && !pool.m_idle.empty())
+            close(*pool.m_idle.front());
+        pump(pool);
+    }
+
+    void warm(const EndpointId& endpoint, const std::string& address, std::uint16_t port, std::uint32_t count)
+    {
+        ConnectionPool& pool = findPool(endpoint);
+        pool.m_configured = true;
+        pool.m_forgotten = false;
+        useAddress(pool, address, port);
+        while (pool.m_connections.size() - pool.m_closing < count && pool.hasRoom())
+            open(pool, nullptr);
+    }
+
+    void forget(const EndpointId& endpoint)
+    {
+        const auto found = m_pools.find(endpoint);
+        if (found == m_pools.end())
+            return;
+        ConnectionPool& pool = found->second;
+        pool.m_configured = false;
+        pool.m_forgotten = true;
+        while (!pool.m_idle.empty())
+            close(*pool.m_idle.front());
+        removeIfUnused(pool);
+    }
+
+    EndpointConnections connections(const EndpointId& endpoint) const
+    {
+        EndpointConnections result;
+        const auto found = m_pools.find(endpoint);
+        if (found == m_pools.end())
+            return result;
+        const ConnectionPool& pool = found->second;
+        result.m_open = static_cast<std::uint32_t>(pool.m_connections.size());
+        result.m_connecting
+            = static_cast<std::uint32_t>(std::count_if(pool.m_connections.begin(), pool.m_connections.end(),
+                [](const auto& connection) { return connection->state() == HttpConnection::State::Connecting; }));
+        result.m_idle = static_cast<std::uint32_t>(pool.m_idle.size());
+        result.m_closing = pool.m_closing;
+        result.m_queuedCalls = static_cast<std::uint32_t>(pool.m_queue.size());
+        return result;
+    }
+
+    const EndpointClientCounters& counters() const { return m_counters; }
+
+private:
+    ConnectionPool& findPool(const EndpointId& endpoint)
+    {
+        ConnectionPool& pool = m_pools[endpoint];
+        pool.m_endpoint = endpoint;
+        return pool;
+    }
+
+    /** Gives up the connections to a former address of the endpoint. */
+    void useAddress(ConnectionPool& pool, const std::string& address, std::uint16_t port)
+    {
+        if (pool.m_address == address && pool.m_port == port)
+            return;
+        pool.m_address = address;
+        pool.m_port = port;
+        for (auto& connection : pool.m_connections)
+            connection->note().m_reusable = false;
+        while (!pool.m_idle.empty())
+            close(*pool.m_idle.front());
+    }
+
+    /** Gives connections to queued calls in order and opens new ones within the share. */
+    void pump(ConnectionPool& pool)
+    {
+        std::uint32_t arriving = pool.m_connecting; // connections that serve calls ahead of the current one
+        std::size_t position = 0;
+        while (position < pool.m_queue.size()) {
+            RunningCall& call = m_calls.at(pool.m_queue[position]);
+            if (HttpConnection* idle
+                = call.m_call.m_freshConnection ? nullptr : findIdle(pool, call.m_call.m_provenConnection)) {
+                removeIdle(pool, *idle);
+                if (dispatch(call, *idle))
+                    pool.m_queue.erase(pool.m_queue.begin() + static_cast<std::ptrdiff_t>(position));
+                continue;
+            }
+            if (!call.m_call.m_freshConnection && arriving > 0) {
+                --arriving;
+                ++position;
+                continue;
+            }
+            if (!pool.hasRoom()) {
+                // An idle connection that this call may not use makes room for one that it may.
+                if (pool.m_closing == 0 && !pool.m_idle.empty())
+                    close(*pool.m_idle.front());
+                return;
+            }
+            if (call.m_call.m_freshConnection) {
+                call.m_connection = &open(pool, &call);
+                pool.m_queue.erase(pool.m_queue.begin() + static_cast<std::ptrdiff_t>(position));
+            } else {
+                open(pool, nullptr);
+                ++position;
+            }
+        }
+    }
+
+    HttpConnection& open(ConnectionPool& pool, const RunningCall* call)
+    {
+        auto connection = HttpConnection::create(m_context, *this);
+        HttpConnection::Note& note = connection->note();
+        note.m_pool = &pool;
+        if (call) {
+            note.m_call = call->m_handle;
+            note.m_reserved = true;
+        } else {
+            ++pool.m_connecting;
+        }
+        pool.m_connections.push_back(connection);
+        ++m_counters.m_connectionsOpen;
+        connection->connect(pool.m_address, pool.m_port, pool.m_limits.m_connectTimeout);
+        return *connection;
+    }
+
+    /** Sends the call; returns false if no byte has left and the connection is gone. */
+    bool dispatch(RunningCall& call, HttpConnection& connection)
+    {
+        const MonotonicTime now = std::chrono::steady_clock::now();
+        if (call.m_call.m_deadline <= now) {
+            keep(connection);
+            post(call, failure(CallOutcome::NotSent, "deadline passed before sending"));
+            return true;
+        }
+        connection.note().m_call = call.m_handle;
+        call.m_connection = &connection;
+        call.m_sentAt = now;
+        const auto remaining = std::chrono::duration_cast<Milliseconds>(call.m_call.m_deadline - now);
+        if (connection.send(detail::requestHeader(call.m_call, remaining), call.m_call.m_body)
+            == HttpConnection::SendResult::Started)
+            return true;
+        call.m_connection = nullptr;
+        ++m_counters.m_connectionsLost;
+        remove(connection);
+        return false;
+    }
+
+    /** Returns a connection to the idle ones, or closes it where it may not be kept. */
+    void keep(HttpConnection& connection)
+    {
+        HttpConnection::Note& note = connection.note();
+        ConnectionPool& pool = *note.m_pool;
+        note.m_call = CallHandle();
+        const bool withinShare = pool.m_connections.size() - pool.m_closing <= pool.m_limits.m_connections;
+        const bool wanted = !pool.m_forgotten || !pool.m_queue.empty();
+        if (connection.state() == HttpConnection::State::Idle && note.m_reusable && withinShare && wanted)
+            pool.m_idle.push_back(&connection);
+        else
+            close(connection);
+    }
+
+    void close(HttpConnection& connection)
+    {
+        ConnectionPool& pool = *connection.note().m_pool;
+        removeIdle(pool, connection);
+        connection.note().m_call = CallHandle();
+        ++pool.m_closing;
+        connection.close(pool.m_limits.m_closeTimeout);
+    }
+
+    void remove(HttpConnection& connection)
+    {
+        auto& all = connection.note().m_pool->m_connections;
+        all.erase(std::remove_if(all.begin(), all.end(),
+                      [&connection](const auto& candidate) { return candidate.get() == &connection; }),
+            all.end());
+        --m_counters.m_connectionsOpen;
+    }
+
+    void removeIfUnused(const ConnectionPool& pool)
+    {
+        if (!pool.m_configured && pool.m_connections.empty() && pool.m_queue.empty())
+            m_pools.erase(EndpointId(pool.m_endpoint));
+    }
+
+    /** Ends a call before its answer, in the way that its progress requires. */
+    void abandon(RunningCall& call, EndpointReply reply)
+    {
+        ConnectionPool* pool = call.m_pool;
+        HttpConnection* connection = call.m_connection;
+        const CallHandle handle = call.m_handle;
+        const bool sent = connection && connection->state() != HttpConnection::State::Connecting;
+        if (!sent)
+            reply.m_outcome = CallOutcome::NotSent;
+        post(call, std::move(reply));
+        if (!pool)
+            return;
+        if (sent) {
+            close(*connection);
+        } else if (connection) {
+            // The connection that was meant for this call alone serves others once it is open.
+            connection->note().m_reserved = false;
+            connection->note().m_call = CallHandle();
+            ++pool->m_connecting;
+        } else {
+            auto& queue = pool->m_queue;
+            queue.erase(std::remove(queue.begin(), queue.end(), handle), queue.end());
+            removeIfUnused(*pool);
+        }
+    }
+
+    /** Closes idle connections that have not proven to work since the time given. */
+    void retireUnproven(ConnectionPool& pool, MonotonicTime time)
+    {
+        const auto idle = pool.m_idle;
+        for (HttpConnection* connection : idle) {
+            if (connection->note().m_provenAt >= time)
+                continue;
+            ++m_counters.m_connectionsRetired;
+            close(*connection);
+        }
+    }
+
+    void expire(RunningCall& call)
+    {
+        ConnectionPool* pool = call.m_pool;
+        const bool sent = call.m_connection && call.m_connection->state() != HttpConnection::State::Connecting;
+        const MonotonicTime sentAt = call.m_sentAt;
+        if (!sent) {
+            abandon(call, failure(CallOutcome::NotSent, "deadline passed while waiting for a connection"));
+            return;
+        }
+        ++m_counters.m_connectionsRetired;
+        abandon(call, failure(CallOutcome::TimedOut, "no answer by the deadline"));
+        retireUnproven(*pool, sentAt);
+        pump(*pool);
+    }
+
+    void addDeadline(const Deadline& deadline)
+    {
+        m_deadlines.push(deadline);
+        if (deadline.m_at < m_armedFor)
+            armTimer();
+    }
+
+    void armTimer()
+    {
+        while (!m_deadlines.empty() && m_calls.count(m_deadlines.top().m_call) == 0)
+            m_deadlines.pop();
+        m_armedFor = m_deadlines.empty() ? MonotonicTime::max() : m_deadlines.top().m_at;
+        if (m_deadlines.empty())
+            return;
+        m_timer.expires_at(m_armedFor);
+        // An expiry that is already queued when the client is destroyed still arrives without an error.
+        m_timer.async_wait([this, alive = std::weak_ptr<const bool>(m_alive)](const boost::system::error_code& error) {
+            if (!error && !alive.expired())
+                onTimer();
+        });
+    }
+
+    void onTimer()
+    {
+        const MonotonicTime now = std::chrono::steady_clock::now();
+        while (!m_deadlines.empty() && m_deadlines.top().m_at <= now) {
+            const auto found = m_calls.find(m_deadlines.top().m_call);
+            m_deadlines.pop();
+            if (found != m_calls.end())
+                expire(found->second);
+        }
+        armTimer();
+    }
+
+    /** Takes the call off the books and returns its handler. */
+    EndpointReplyHandler finish(const RunningCall& call, EndpointReply& reply)
+    {
+        reply.m_elapsed = since(call.m_startedAt);
+        --m_counters.m_callsInFlight;
+        switch (reply.m_outcome) {
+        case CallOutcome::Answered:
+            ++m_counters.m_callsAnswered;
+            break;
+        case CallOutcome::NotSent:
+            ++m_counters.m_callsNotSent;
+            break;
+        case CallOutcome::ConnectionLost:
+            ++m_counters.m_callsLost;
+            break;
+        case CallOutcome::TimedOut:
+            ++m_counters.m_callsTimedOut;
+            break;
+        case CallOutcome::Cancelled:
+            ++m_counters.m_callsCancelled;
+            break;
+        }
+        auto node = m_calls.extract(CallHandle(call.m_handle));
+        return std::move(node.mapped().m_handler);
+    }
+
+    /** Finishes the call now and calls its handler from the io_context. */
+    void post(RunningCall& call, EndpointReply reply)
+    {
+        EndpointReplyHandler handler = finish(call, reply);
+        asio::post(m_context,
+            [handler = std::move(handler), reply = std::move(reply)]() mutable { handler(std::move(reply)); });
+    }
+
+    void connected(HttpConnection& connection) override
+    {
+        ++m_counters.m_connectionsOpened;
+        HttpConnection::Note& note = connection.note();
+        ConnectionPool& pool = *note.m_pool;
+        note.m_provenAt = std::chrono::steady_clock::now();
+        if (!std::exchange(note.m_reserved, false)) {
+            --pool.m_connecting;
+            keep(connection);
+        } else if (RunningCall& call = m_calls.at(note.m_call); !dispatch(call, connection)) {
+            post(call, failure(CallOutcome::NotSent, "the connection closed before the request was sent"));
+        }
+        pump(pool);
+        if (pool.m_forgotten) {
+            while (!pool.m_idle.empty())
+                close(*pool.m_idle.front());
+        }
+        removeIfUnused(pool);
+    }
+
+    void answered(HttpConnection& connection, EndpointReply reply) override
+    {
+        HttpConnection::Note& note = connection.note();
+        ConnectionPool& pool = *note.m_pool;
+        note.m_provenAt = std::chrono::steady_clock::now();
+        const RunningCall& call = m_calls.at(note.m_call);
+        note.m_reusable = note.m_reusable && !call.m_call.m_freshConnection;
+        const EndpointReplyHandler handler = finish(call, reply);
+        keep(connection);
+        pump(pool);
+        // Last, since the handler may destroy the client.
+        handler(std::move(reply));
+    }
+
+    void closed(HttpConnection& connection, HttpConnection::State before, const std::string& text) override
+    {
+        const HttpConnection::Note note = connection.note();
+        ConnectionPool& pool = *note.m_pool;
+        switch (before) {
+        case HttpConnection::State::Connecting:
+            ++m_counters.m_connectionsFailed;
+            failWaitingCall(pool, note, text);
+            break;
+        case HttpConnection::State::Closing:
+            --pool.m_closing;
+            break;
+        case HttpConnection::State::Busy:
+            ++m_counters.m_connectionsLost;
+            post(m_calls.at(note.m_call), failure(CallOutcome::ConnectionLost, text));
+            break;
+        default:
+            ++m_counters.m_connectionsLost;
+            removeIdle(pool, connection);
+        }
+        remove(connection);
+        pump(pool);
+        removeIfUnused(pool);
+    }
+
+    /** Fails the call that a connection was opened for, unless another one still comes for it. */
+    void failWaitingCall(ConnectionPool& pool, const HttpConnection::Note& note, const std::string& text)
+    {
+        if (note.m_reserved) {
+            post(m_calls.at(note.m_call), failure(CallOutcome::NotSent, text));
+            return;
+        }
+        --pool.m_connecting;
+        const auto isOrdinary = [this](CallHandle handle) { return !m_calls.at(handle).m_call.m_freshConnection; };
+        const auto waiting = std::count_if(pool.m_queue.begin(), pool.m_queue.end(), isOrdinary);
+        if (waiting <= static_cast<std::ptrdiff_t>(pool.m_connecting))
+            return;
+        const auto first = std::find_if(pool.m_queue.begin(), pool.m_queue.end(), isOrdinary);
+        RunningCall& call = m_calls.at(*first);
+        pool.m_queue.erase(first);
+        post(call, failure(CallOutcome::NotSent, text));
+    }
+
+    asio::io_context& m_context;
+    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
+    asio::steady_timer m_timer;
+    MonotonicTime m_armedFor = MonotonicTime::max();
+    std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>> m_deadlines;
+    std::unordered_map<CallHandle, RunningCall> m_calls;
+    std::unordered_map<EndpointId, ConnectionPool> m_pools;
+    std::uint64_t m_lastHandle = 0;
+    EndpointClientCounters m_counters;
+};
+
+EndpointClient::EndpointClient(asio::io_context& context)
+    : m_impl(std::make_unique<Impl>(context))
+{
+}
+
+EndpointClient::~EndpointClient() = default;
+
+CallHandle EndpointClient::start(EndpointCall call, EndpointReplyHandler handler)
+{
+    return m_impl->start(std::move(call), std::move(handler));
+}
+
+void EndpointClient::cancel(CallHandle handle) { m_impl->cancel(handle); }
+
+void EndpointClient::setLimits(const EndpointId& endpoint, const EndpointLimits& limits)
+{
+    m_impl->setLimits(endpoint, limits);
+}
+
+void EndpointClient::warm(
+    const EndpointId& endpoint, const std::string& address, std::uint16_t port, std::uint32_t count)
+{
+    m_impl->warm(endpoint, address, port, count);
+}
+
+void EndpointClient::forget(const EndpointId& endpoint) { m_impl->forget(endpoint); }
+
+EndpointConnections EndpointClient::connections(const EndpointId& endpoint) const
+{
+    return m_impl->connections(endpoint);
+}
+
+const EndpointClientCounters& EndpointClient::counters() const { return m_impl->counters(); }
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/endpoint/endpointclient.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "endpoint/callhandle.h"
+#include "endpoint/endpointcall.h"
+#include "endpoint/endpointcounters.h"
+#include "endpoint/endpointlimits.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace flamingo {
+
+/**
+ * HTTP/1.1 client for endpoints with a pool of keep-alive connections for each of them.
+ *
+ * A request is written at most once: nothing is sent again after its first byte may have left.
+ *
+ * Thread safety: none. Every method, the destructor included, must be called on the thread that runs
+ * the io_context, or while nothing runs it. Handlers run on that thread.
+ */
+class EndpointClient {
+public:
+    /** Creates a client without connections. The io_context must outlive the client. */
+    explicit EndpointClient(boost::asio::io_context& context);
+
+    /** Closes all connections at once. Handlers of unfinished calls are dropped without being called. */
+    ~EndpointClient();
+
+    EndpointClient(const EndpointClient&) = delete;
+    EndpointClient& operator=(const EndpointClient&) = delete;
+
+    /**
+     * Starts a call and returns its handle. The handler must not be empty.
+     *
+     * The handler is called exactly once and never from within this or another method of the client.
+     * It may call any method of the client. Calls beyond the endpoint's connection share wait in order.
+     */
+    CallHandle start(EndpointCall call, EndpointReplyHandler handler);
+
+    /**
+     * Ends a call early and closes its connection. Does nothing for a finished or unknown call.
+     *
+     * The outcome is Cancelled, or NotSent if no byte of the request has left.
+     */
+    void cancel(CallHandle handle);
+
+    /** Sets the bounds of an endpoint; idle connections beyond the new share are closed. No precondition. */
+    void setLimits(const EndpointId& endpoint, const EndpointLimits& limits);
+
+    /**
+     * Opens connections ahead of need until the endpoint has `count` of them or its share is reached.
+     *
+     * The address must be an IP address. Idempotent, so that it may be called at each change of state.
+     */
+    void warm(const EndpointId& endpoint, const std::string& address, std::uint16_t port, std::uint32_t count);
+
+    /** Closes the endpoint's idle connections; the others are closed after their calls. No precondition. */
+    void forget(const EndpointId& endpoint);
+
+    /** Returns the connections of one endpoint; all zero if it is unknown. No precondition. */
+    EndpointConnections connections(const EndpointId& endpoint) const;
+
+    /** Returns the totals. The reference is valid for the life of the client. */
+    const EndpointClientCounters& counters() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/endpoint/httpconnection.cpp
@@ -0,0 +1,291 @@
+#include "endpoint/httpconnection.h"
+
+#include "endpoint/httpconnectionowner.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace flamingo::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Parser = http::response_parser<http::string_body>;
+
+constexpr std::uint64_t maximumAnswerBytes = 4 * 1024 * 1024;
+constexpr std::size_t readBytes = 4096;
+constexpr std::size_t largeReadBytes = 65536; // while a body is under way
+constexpr std::size_t maximumIdleBufferBytes = 16384;
+constexpr Milliseconds maximumRetryAfter { 60000 };
+
+std::string_view field(const Parser::value_type& message, std::string_view name)
+{
+    const auto found = message.find(boost::string_view(name.data(), name.size()));
+    if (found == message.end())
+        return {};
+    return { found->value().data(), found->value().size() };
+}
+
+/** Returns the number that the whole text stands for, or zero. */
+template <typename Number> Number numberOrZero(std::string_view text)
+{
+    Number number {};
+    const char* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, number);
+    if (result.ec != std::errc() || result.ptr != end)
+        return Number {};
+    return number;
+}
+
+EndpointReply takeReply(Parser::value_type& message)
+{
+    EndpointReply reply;
+    reply.m_outcome = CallOutcome::Answered;
+    reply.m_status = message.result_int();
+    reply.m_notRun = reply.m_status >= 400 && field(message, "X-Flamingo-Not-Run") == "1";
+    const auto retryAfter = numberOrZero<std::uint32_t>(field(message, "Retry-After-Ms"));
+    reply.m_retryAfter = std::min(Milliseconds(retryAfter), maximumRetryAfter);
+    reply.m_request = RequestId(std::string(field(message, "X-Flamingo-Request")));
+    reply.m_attempt = AttemptNumber(numberOrZero<std::uint32_t>(field(message, "X-Flamingo-Attempt")));
+    reply.m_snapshot = SnapshotVersion(numberOrZero<std::uint64_t>(field(message, "X-Flamingo-Snapshot")));
+    reply.m_layout = LayoutId(numberOrZero<std::uint64_t>(field(message, "X-Flamingo-Layout")));
+    reply.m_shard = ShardIndex(numberOrZero<std::uint32_t>(field(message, "X-Flamingo-Shard")));
+    const auto load = numberOrZero<double>(field(message, "X-Flamingo-Load"));
+    reply.m_load = std::isfinite(load) ? std::clamp(load, 0.0, 1.0) : 0.0;
+    reply.m_body = std::move(message.body());
+    return reply;
+}
+
+class BeastConnection final : public HttpConnection {
+public:
+    BeastConnection(asio::io_context& context, HttpConnectionOwner& owner)
+        : m_owner(&owner)
+        , m_socket(context)
+        , m_timer(context)
+    {
+    }
+
+    void connect(const std::string& address, std::uint16_t port, Milliseconds timeout) override
+    {
+        m_state = State::Connecting;
+        error_code error;
+        const auto ip = asio::ip::make_address(address, error);
+        if (error) {
+            asio::post(m_socket.get_executor(),
+                [self = self(), text = "invalid IP address '" + address + "'"] { self->end(text); });
+            return;
+        }
+        startTimer(timeout, "connecting timed out");
+        m_socket.async_connect({ ip, port }, [self = self()](error_code result) { self->onConnect(result); });
+    }
+
+    SendResult send(std::string header, std::string& body) override
+    {
+        error_code error;
+        // A request that fits into the socket's buffer leaves without a trip through the io_context.
+        const std::array<asio::const_buffer, 2> buffers { asio::buffer(header), asio::buffer(body) };
+        const std::size_t written = m_socket.write_some(buffers, error);
+        if (error && error != asio::error::would_block) {
+            m_state = State::Closed;
+            release();
+            return SendResult::NothingSent;
+        }
+        m_state = State::Busy;
+        m_header = std::move(header);
+        m_body = std::move(body);
+        expectAnswer();
+        writeRest(written);
+        return SendResult::Started;
+    }
+
+    void close(Milliseconds timeout) override
+    {
+        m_state = State::Closing;
+        error_code error;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+        startTimer(error ? Milliseconds(0) : timeout, "closed");
+    }
+
+    void detach() override
+    {
+        m_owner = nullptr;
+        m_state = State::Closed;
+        release();
+    }
+
+private:
+    std::shared_ptr<BeastConnection> self() { return std::static_pointer_cast<BeastConnection>(shared_from_this()); }
+
+    void startTimer(Milliseconds timeout, const char* text)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = self(), text, expected = m_state](error_code error) {
+            // An expiry that was already queued when the timer was cancelled arrives without an error.
+            if (!error && self->m_state == expected)
+                self->end(text);
+        });
+    }
+
+    void onConnect(error_code error)
+    {
+        if (m_state != State::Connecting)
+            return;
+        m_timer.cancel();
+        if (!error)
+            m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+        if (!error)
+            m_socket.set_option(asio::socket_base::keep_alive(true), error);
+        if (!error)
+            m_socket.non_blocking(true, error);
+        if (error) {
+            end("connecting failed: " + error.message());
+            return;
+        }
+        m_state = State::Idle;
+        read();
+        if (m_owner)
+            m_owner->connected(*this);
+    }
+
+    void expectAnswer()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(maximumAnswerBytes);
+        m_parser->eager(true);
+    }
+
+    // One read is outstanding on every open connection: it takes the answer of a busy one and
+    // notices that the peer closes an idle one.
+    void read()
+    {
+        const bool bodyUnderWay = m_state == State::Busy && m_parser && m_parser->is_header_done();
+        m_socket.async_read_some(m_buffer.prepare(bodyUnderWay ? largeReadBytes : readBytes),
+            [self = self()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
+    }
+
+    void onRead(error_code error, std::size_t bytes)
+    {
+        if (m_state == State::Closed)
+            return;
+        m_buffer.commit(bytes);
+        if (error) {
+            end(m_state == State::Closing       ? "closed"
+                    : error == asio::error::eof ? "the endpoint closed the connection"
+                                                : "connection failed: " + error.message());
+            return;
+        }
+        if (m_state == State::Closing) {
+            m_buffer.consume(m_buffer.size());
+            read();
+            return;
+        }
+        if (m_state == State::Idle) {
+            end("the endpoint sent bytes that no request asked for");
+            return;
+        }
+        parse();
+    }
+
+    void parse()
+    {
+        while (m_buffer.size() > 0 && !m_parser->is_done()) {
+            error_code error;
+            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            if (error == http::error::need_more)
+                break;
+            if (error) {
+                end("invalid HTTP answer: " + error.message());
+                return;
+            }
+            if (m_parser->is_header_done() && m_parser->need_eof()) {
+                // Without a length a truncated answer looks like a whole one.
+                end("HTTP answer without a length");
+                return;
+            }
+            if (m_parser->is_done() && m_parser->get().result_int() < 200)
+                expectAnswer(); // an interim answer
+        }
+        if (m_parser->is_done())
+            finish();
+        else
+            read();
+    }
+
+    void finish()
+    {
+        auto message = m_parser->release();
+        const bool reusable = message.keep_alive() && m_writeDone && m_buffer.size() == 0;
+        m_parser.reset();
+        if (reusable) {
+            m_state = State::Idle;
+            if (m_buffer.capacity() > maximumIdleBufferBytes)
+                m_buffer = boost::beast::flat_buffer();
+        }
+        read();
+        if (m_owner)
+            m_owner->answered(*this, takeReply(message));
+    }
+
+    void writeRest(std::size_t written)
+    {
+        const std::size_t headerWritten = std::min(written, m_header.size());
+        const std::array<asio::const_buffer, 2> rest { asio::buffer(m_header) + headerWritten,
+            asio::buffer(m_body) + (written - headerWritten) };
+        m_writeDone = asio::buffer_size(rest) == 0;
+        if (m_writeDone)
+            return;
+        // A write error shows as the end of the read as well, where an early answer is read first.
+        asio::async_write(
+            m_socket, rest, [self = self()](error_code error, std::size_t) { self->m_writeDone = !error; });
+    }
+
+    void release()
+    {
+        error_code ignored;
+        m_socket.close(ignored);
+        m_timer.cancel();
+    }
+
+    void end(const std::string& text)
+    {
+        if (m_state == State::Closed)
+            return;
+        const State before = std::exchange(m_state, State::Closed);
+        release();
+        if (m_owner)
+            m_owner->closed(*this, before, text);
+    }
+
+    HttpConnectionOwner* m_owner;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::string m_header;
+    std::string m_body;
+    bool m_writeDone = true;
+};
+
+} // namespace
+
+std::shared_ptr<HttpConnection> HttpConnection::create(boost::asio::io_context& context, HttpConnectionOwner& owner)
+{
+    return std::make_shared<BeastConnection>(context, owner);
+}
+
+} // namespace flamingo::detail
