Add routing: replica choice, ejection, budgets, admission and the routing table

Cause: the query and request paths need decisions about endpoints that can be tested without sockets, threads or clocks.

--- /dev/null
+++ b/src/libflamingo/routing/endpointchoice.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/time.h"
+#include "routing/endpointindex.h"
+#include "routing/routingstate.h"
+
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace flamingo {
+
+using RandomEngine = std::mt19937_64;
+
+/** Result of choosing a replica. */
+struct EndpointChoice {
+    std::optional<EndpointIndex> m_endpoint;
+    // Without an endpoint: whether a replica is only busy, and when one that refused or is ejected
+    // may be tried again.
+    bool m_busy = false;
+    std::optional<MonotonicTime> m_retryAt;
+};
+
+/** What the caller of chooseEndpoint() wants. */
+struct ChoiceRequest {
+    const std::vector<EndpointIndex>& m_replicas; // of the shard in the fixed snapshot and layout
+    const std::vector<EndpointIndex>& m_excluded; // tried already
+    bool m_mayProbe = true; // false for hedges, which must not wait for an ejected endpoint
+};
+
+/** Returns whether the endpoint can take a call now: not draining, ejected, refusing or at its bound. */
+bool canTakeCall(RoutingState& routing, EndpointIndex endpoint, MonotonicTime now);
+
+/**
+ * Chooses a replica for one call.
+ *
+ * Replicas in this daemon's data centre come first; others are used when the local ones are ejected,
+ * refuse, are full or are clearly slower. Of two random candidates the one with fewer calls in flight
+ * per slot wins, then the one with the lower latency, then the one that reports less load. The last
+ * replica of a shard is used even if it is ejected.
+ */
+EndpointChoice chooseEndpoint(
+    RoutingState& routing, const ChoiceRequest& request, RandomEngine& random, MonotonicTime now);
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/routing/latencydistribution.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace flamingo {
+
+/**
+ * Histogram of latencies over the current and the previous window.
+ *
+ * A plain value for one event loop. Buckets grow by about 6%, so a quantile is exact to that.
+ */
+struct LatencyDistribution {
+    static constexpr unsigned subBucketBits = 4;
+    static constexpr unsigned octaves = 28; // up to 268 s
+    static constexpr unsigned bucketCount = (octaves + 1) << subBucketBits;
+
+    std::array<std::uint32_t, bucketCount> m_current {};
+    std::array<std::uint32_t, bucketCount> m_previous {};
+    std::uint64_t m_currentCount = 0;
+    std::uint64_t m_previousCount = 0;
+    MonotonicTime m_windowStart {};
+    Milliseconds m_window { 10000 };
+
+    // A quantile walks all buckets, so the last one is kept for a few samples.
+    mutable double m_cachedQuantile = -1.0;
+    mutable std::optional<Microseconds> m_cachedValue;
+    mutable std::uint32_t m_cacheUses = 0;
+};
+
+/** Adds one latency. The time must not go back between calls. */
+void addLatency(LatencyDistribution& distribution, Microseconds latency, MonotonicTime now);
+
+/** Returns the latency below which the fraction lies, or nothing without samples. */
+std::optional<Microseconds> latencyQuantile(const LatencyDistribution& distribution, double fraction);
+
+/** Returns the number of samples in both windows. */
+std::uint64_t latencySamples(const LatencyDistribution& distribution);
+
+struct RoutingSettings;
+
+/**
+ * Returns how long an attempt may run before a hedge is due.
+ *
+ * The service's own quantile with a lower bound; a fixed delay until there are enough samples.
+ */
+Microseconds hedgeDelay(const LatencyDistribution& distribution, const RoutingSettings& settings);
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/routing/routingsettings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <cstdint>
+
+namespace flamingo {
+
+/** Constants of routing; the defaults suit calls of a few milliseconds. */
+struct RoutingSettings {
+    DataCentreName m_dataCentre; // of this daemon
+    VmId m_vm; // of this daemon
+
+    // Weight of the newest sample in the moving average of an endpoint's latency.
+    double m_latencyWeight = 0.1;
+    // Latencies closer than this fraction count as equal, so that the endpoint's report decides.
+    double m_latencyTie = 0.1;
+    // Calls in flight beyond the endpoint's slots. One lets the next request travel while the last
+    // one runs; more would queue at the endpoint.
+    std::uint32_t m_callsBeyondSlots = 0;
+
+    // An endpoint in another data centre is used when the local ones take this factor longer and
+    // also this much longer.
+    double m_spillFactor = 2.0;
+    Microseconds m_spillMargin { 5000 };
+
+    // Failures in a row that eject an endpoint. A refused or lost connection ejects at once. A lost
+    // race is a call that was cancelled because a later attempt answered first.
+    std::uint32_t m_failuresToEject = 3;
+    std::uint32_t m_lostRacesToEject = 4;
+    Milliseconds m_firstEjection { 500 };
+    Milliseconds m_longestEjection { 30000 };
+    // Answers in a row after a readmission that reset the doubled ejection time.
+    std::uint32_t m_answersToForgive = 20;
+
+    // Time over which a new or readmitted endpoint gets its full share, and the share it starts with.
+    Milliseconds m_ramp { 5000 };
+    double m_rampStart = 0.1;
+
+    // Waiting time after a shed answer that names none, and the longest one that is obeyed.
+    Milliseconds m_defaultRefusal { 20 };
+    Milliseconds m_longestRefusal { 5000 };
+
+    double m_hedgeQuantile = 0.95;
+    Microseconds m_shortestHedgeDelay { 1000 };
+    // Used until the distribution has enough samples.
+    Microseconds m_initialHedgeDelay { 50000 };
+    std::uint64_t m_samplesForHedgeDelay = 100;
+    Milliseconds m_latencyWindow { 10000 };
+
+    // Tokens a service's extra-load budget holds at most, and at the start.
+    double m_budgetBurst = 10.0;
+};
+
+} // namespace flamingo
