--- /dev/null
+++ b/src/libflamingo/daemon/controllink.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "control/controlclient.h"
+
+#include <memory>
+#include <random>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace flamingo {
+
+class LinkClient;
+
+/**
+ * The ControlClient of an entry VM together with the socket of its link.
+ *
+ * Thread safety: none; all calls on the thread of the io_context, which outlives the object.
+ */
+class ControlLink {
+public:
+    /** The state handler must make the state visible to all new work before it returns. */
+    ControlLink(boost::asio::io_context& io, ControlClientSettings settings,
+        std::function<void(std::shared_ptr<const PublishedState>)> onState);
+    ~ControlLink();
+    ControlLink(const ControlLink&) = delete;
+    ControlLink& operator=(const ControlLink&) = delete;
+
+    /** Returns the client, for commands and the lease. */
+    ControlClient& client() { return *m_client; }
+
+    /** Advances timers; to be called every 20 to 100 ms. */
+    void tick(MonotonicTime now) { m_client->tick(now); }
+
+private:
+    void connect(LinkId link, const std::string& address);
+    void close(LinkId link);
+    void retire();
+
+    boost::asio::io_context& m_io;
+    std::mt19937_64 m_random;
+    std::unique_ptr<ControlClient> m_client;
+    std::unique_ptr<LinkClient> m_link;
+    LinkId m_linkId;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -0,0 +1,176 @@
+#include "daemon/controlrole.h"
+
+#include "base/log.h"
+#include "consensus/consensusmember.h"
+#include "control/controlservice.h"
+#include "daemon/administration.h"
+#include "link/linkpath.h"
+#include "link/linkserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+namespace flamingo {
+
+namespace {
+
+MonotonicTime clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+ControlRole::ControlRole(
+    boost::asio::io_context& io, ControlRoleSettings settings, std::function<void(const Reason&)> failed)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_failed(std::move(failed))
+    , m_peers(io)
+{
+}
+
+ControlRole::~ControlRole()
+{
+    stop();
+}
+
+bool ControlRole::start(MonotonicTime now, Reason& reason)
+{
+    makeService();
+    m_member = ConsensusMember::open(m_settings.m_member, memberCallbacks(), now, reason);
+    if (!m_member)
+        return false;
+
+    LinkServerCallbacks callbacks;
+    callbacks.m_opened = [this](LinkId link, const std::string&, const std::string& path) { linkOpened(link, path); };
+    callbacks.m_message = [this](LinkId link, const std::string& message) { linkMessage(link, message); };
+    callbacks.m_closed = [this](LinkId link, const Reason&) { linkClosed(link); };
+    m_server = std::make_unique<LinkServer>(
+        m_io, m_settings.m_listenAddress, m_settings.m_listenPort, std::move(callbacks));
+    return m_server->start(reason);
+}
+
+void ControlRole::makeService()
+{
+    ControlServicePorts ports;
+    ports.m_propose = [this](std::string entry) {
+        return m_member && m_member->propose(std::move(entry), clockNow()).has_value();
+    };
+    ports.m_readyToServe = [this] { return m_member && m_member->readyToServe(); };
+    ports.m_confirmedRoundStart
+        = [this] { return m_member ? m_member->confirmedRoundStart() : std::optional<MonotonicTime>(); };
+    ports.m_leaderSince = [this] { return m_member ? m_member->leaderSince() : std::optional<MonotonicTime>(); };
+    ports.m_leaderAddress = [this] { return m_member ? m_member->leaderAddress() : std::string(); };
+    ports.m_send = [this](LinkId link, const std::string& bytes) {
+        if (m_server)
+            m_server->send(link, bytes);
+    };
+    ports.m_wallClock = wallClock;
+    ports.m_administer = [this](const AdminRequest& request) { return administer(request); };
+    // The seed is unpredictable and differs for each process, as the proposer number has to.
+    m_service = std::make_unique<ControlService>(std::move(ports), m_settings.m_member.m_seed);
+}
+
+MemberCallbacks ControlRole::memberCallbacks()
+{
+    MemberCallbacks callbacks;
+    callbacks.m_send = [this](const std::string& address, const std::string& frame) {
+        if (!m_stopped)
+            m_peers.send(address, frame, clockNow());
+    };
+    callbacks.m_apply = [this](LogIndex, const std::string& bytes) {
+        if (!m_service->onApplied(bytes, clockNow()))
+            fail(m_service->lastReason());
+    };
+    callbacks.m_takeSnapshot = [this] { return m_service->takeSnapshot(); };
+    callbacks.m_restoreSnapshot = [this](LogIndex, const std::string& bytes, Reason& reason) {
+        if (m_service->restoreSnapshot(bytes))
+            return true;
+        reason = m_service->lastReason();
+        return false;
+    };
+    callbacks.m_roleChanged = [this] {
+        m_service->onRoleChanged(clockNow());
+        if (m_member) {
+            logEvent(LogLevel::Info, "control role changed",
+                { { "member", m_member->id().value() }, { "leads", m_member->role() == Role::Leader ? "yes" : "no" },
+                    { "term", std::to_string(m_member->term().value()) }, { "leader", m_member->leader().value() } });
+        }
+    };
+    callbacks.m_scheduleFlush = [this] { scheduleFlush(); };
+    callbacks.m_failed = [this](const Reason& reason) { fail(reason); };
+    return callbacks;
+}
+
+void ControlRole::scheduleFlush()
+{
+    // Runs after the messages at hand, so that their proposals share one sync of the disk.
+    boost::asio::post(m_io, [this] {
+        if (!m_stopped)
+            m_member->flush(clockNow());
+    });
+}
+
+void ControlRole::tick(MonotonicTime now)
+{
+    m_member->tick(now);
+    m_service->tick(now);
+}
+
+void ControlRole::stop()
+{
+    m_stopped = true;
+    if (m_server)
+        m_server->stop();
+    m_peers.stop();
+}
+
+void ControlRole::linkOpened(LinkId link, const std::string& path)
+{
+    const bool isEntry = path == entryLinkPath;
+    m_links[link] = isEntry;
+    if (isEntry)
+        m_service->onLinkOpened(link);
+}
+
+void ControlRole::linkMessage(LinkId link, const std::string& message)
+{
+    const MonotonicTime now = clockNow();
+    if (!m_links[link]) {
+        if (!m_member->receive(message, now)) {
+            logEvent(LogLevel::Warning, "refused a frame of another control member",
+                { { "reason", m_member->lastReason().m_text } });
+        }
+        return;
+    }
+    if (!m_service->onMessage(link, message, now)) {
+        logEvent(LogLevel::Warning, "closed the link of an entry VM", { { "reason", m_service->lastReason().m_text } });
+        m_server->close(link, m_service->lastReason().m_text);
+    }
+}
+
+void ControlRole::linkClosed(LinkId link)
+{
+    const auto found = m_links.find(link);
+    if (found == m_links.end())
+        return;
+    if (found->second)
+        m_service->onLinkClosed(link);
+    m_links.erase(found);
+}
+
+void ControlRole::fail(const Reason& reason)
+{
+    logEvent(LogLevel::Error, "control role stopped",
+        { { "code", std::to_string(static_cast<int>(reason.m_code)) }, { "reason", reason.m_text } });
+    if (m_failed)
+        m_failed(reason);
+}
+
+AdminReply ControlRole::administer(const AdminRequest& request)
+{
+    return flamingo::administer(*m_member, *m_service, request, clockNow());
+}
+
+} // namespace flamingo
