--- a/src/libflamingo/consensus/bootstrap.cpp
+++ b/src/libflamingo/consensus/bootstrap.cpp
@@ -12,7 +12,7 @@
 constexpr Milliseconds kAttemptInterval { 500 };
 // An answer may be late by several attempts, but one from a process that has since gone should not count.
 constexpr Milliseconds kAnswerLifetime { 3000 };
-// A member that the cluster has forgotten waits this long for a leader before it asks to join.
+// A member waits this long for a leader before it asks to join; twice the longest election timeout.
 constexpr Milliseconds kLeaderSilence { 3000 };
 
 bool isListed(const BootstrapState& bootstrap)
@@ -53,13 +53,19 @@
     return allowed ? std::optional<Configuration>(configuration) : std::nullopt;
 }
 
-/** Returns whether the cluster does not know this member, or knows it at another address. */
+/**
+ * Returns whether the cluster may not know this member, or knows it at another address.
+ *
+ * A member that is in its own configuration but hears from no leader asks too: the entry that added it may have been
+ * replaced by a later leader's.
+ */
 bool mustAnnounce(const BootstrapState& bootstrap, const RaftState& raft, MonotonicTime now)
 {
     const MemberRecord* own = findMember(latestConfiguration(raft.m_log), raft.m_self);
-    if (own)
-        return own->m_address != bootstrap.m_address;
-    return !raft.m_lastLeaderContact || now - *raft.m_lastLeaderContact > kLeaderSilence;
+    if (own && own->m_address != bootstrap.m_address)
+        return true;
+    return raft.m_role != Role::Leader
+        && (!raft.m_lastLeaderContact || now - *raft.m_lastLeaderContact > kLeaderSilence);
 }
 
 void askToJoin(const BootstrapState& bootstrap, const std::set<std::string>& addresses, BootstrapEffects& effects)
@@ -133,8 +139,11 @@
     BootstrapState& bootstrap, const RaftMessage& message, const StatusAnswer& answer, MonotonicTime now)
 {
     for (const InitialMember& member : bootstrap.m_initial) {
-        if (member.m_vm == answer.m_vm && member.m_vm != bootstrap.m_vm)
-            bootstrap.m_answers[member.m_address] = { message.m_from, answer, now };
+        if (member.m_vm != answer.m_vm || member.m_vm == bootstrap.m_vm)
+            continue;
+        if (bootstrap.m_answers.count(member.m_address) == 0)
+            bootstrap.m_nextAttempt = now; // something new may be possible
+        bootstrap.m_answers[member.m_address] = { message.m_from, answer, now };
     }
 }
 
--- a/src/libflamingo/consensus/logstorage.h
+++ b/src/libflamingo/consensus/logstorage.h
@@ -89,6 +89,7 @@
     bool loadSnapshot(const std::vector<std::string>& names);
     bool loadSegments(const std::vector<std::string>& names);
     bool loadSegment(const std::string& name, bool last);
+    bool makeDurable(const std::string& path, std::uint64_t size, bool truncate);
     bool checkContinuity();
     bool startSegment(LogIndex first);
     bool dropSegmentsUpTo(LogIndex index);
--- a/src/libflamingo/consensus/logstorageload.cpp
+++ b/src/libflamingo/consensus/logstorageload.cpp
@@ -100,7 +100,10 @@
     // A new id with an old log could vote twice in a term.
     if (!m_meta && (!snapshots.empty() || !segments.empty()))
         return fail(damaged(m_folder, "log files without the file \"meta\""));
-    return loadSnapshot(snapshots) && loadSegments(segments) && checkContinuity();
+    if (!loadSnapshot(snapshots) || !loadSegments(segments) || !checkContinuity())
+        return false;
+    // A killed process may also have left names that are not durable.
+    return syncFolder(m_folder, m_hooks, reason) || fail(reason);
 }
 
 bool LogStorage::loadMeta()
@@ -251,15 +254,9 @@
             damaged(path, "log entries from " + std::to_string(endOf(m_segments.back()).value()) + " are missing"));
     if (contents->m_entries.empty())
         return removeFile(path, reason) || fail(reason);
-    if (contents->m_torn) {
-        const FileHandle file = openFile(path, O_WRONLY, reason);
-        if (!file.isOpen())
-            return fail(reason);
-        if (::ftruncate(file.descriptor(), static_cast<off_t>(contents->m_goodBytes)) != 0)
-            return fail(systemFailure("truncate", path));
-        if (!syncFile(file.descriptor(), m_hooks, path, reason))
-            return fail(reason);
-    }
+    // A process that was killed before its last sync leaves entries that are readable but not durable yet.
+    if (last && !makeDurable(path, contents->m_goodBytes, contents->m_torn))
+        return false;
     Segment segment;
     segment.m_path = path;
     segment.m_first = LogIndex(first);
@@ -273,6 +270,17 @@
     return true;
 }
 
+bool LogStorage::makeDurable(const std::string& path, std::uint64_t size, bool truncate)
+{
+    Reason reason;
+    const FileHandle file = openFile(path, O_WRONLY, reason);
+    if (!file.isOpen())
+        return fail(reason);
+    if (truncate && ::ftruncate(file.descriptor(), static_cast<off_t>(size)) != 0)
+        return fail(systemFailure("truncate", path));
+    return syncFile(file.descriptor(), m_hooks, path, reason) || fail(reason);
+}
+
 bool LogStorage::checkContinuity()
 {
     if (m_segments.empty())
--- a/src/libflamingo/consensus/tests/membershiptest.cpp
+++ b/src/libflamingo/consensus/tests/membershiptest.cpp
@@ -106,6 +106,30 @@
     REQUIRE(cluster.m_violation.empty());
 }
 
+// Guards against a learner that waits forever because the entry that added it was replaced by a later leader's.
+TEST_CASE("A learner whose addition was not committed joins again")
+{
+    TestCluster cluster(5, 5);
+    cluster.startAll();
+    REQUIRE(cluster.awaitLeader());
+    REQUIRE(cluster.runUntil([&] { return cluster.repaired(); }));
+    const int leader = cluster.leader();
+    const int emptied = (leader + 1) % 5;
+    cluster.crashAndLoseDisk(emptied);
+    cluster.run(Milliseconds(1000));
+    cluster.partition({ leader, emptied });
+    cluster.start(emptied);
+    const ConsensusMember& learner = *cluster.m_vms[emptied].m_member;
+    const auto believesToBeMember
+        = [&] { return findMember(latestConfiguration(learner.raft().m_log), learner.id()) != nullptr; };
+    REQUIRE(cluster.runUntil(believesToBeMember, Milliseconds(2000)));
+    REQUIRE(cluster.runUntil([&] { return cluster.leader() >= 0 && cluster.leader() != leader; }));
+    REQUIRE(cluster.proposeAndAwait("one"));
+    cluster.heal();
+    REQUIRE(cluster.runUntil([&] { return cluster.repaired() && cluster.settled(); }));
+    REQUIRE(cluster.m_violation.empty());
+}
+
 // Guards against changes that lose the majority, and against removed members that return or disturb the others.
 TEST_CASE("Operators change the membership")
 {
--- /dev/null
+++ b/src/libflamingo/consensus/tests/replicationtest.cpp
@@ -0,0 +1,176 @@
+#include "testcluster.h"
+
+#include "consensus/raftstep.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+using namespace flamingo::test;
+
+// Guards against entries lost or reordered while members are away, and against full replays after a restart.
+TEST_CASE("Entries reach all members")
+{
+    TestCluster cluster(3, 3);
+    cluster.startAll();
+    REQUIRE(cluster.awaitLeader());
+    const int first = cluster.leader();
+    const int other = (first + 1) % 3;
+
+    SECTION("proposals of one batch are written with one sync")
+    {
+        ConsensusMember& leader = *cluster.m_vms[first].m_member;
+        REQUIRE(cluster.proposeAndAwait("warm"));
+        const int syncs = cluster.m_vms[first].m_disk->m_syncs;
+        for (int i = 0; i < 50; ++i)
+            REQUIRE(leader.propose("single" + std::to_string(i), cluster.m_now));
+        REQUIRE(cluster.m_vms[first].m_disk->m_syncs - syncs == 50);
+        REQUIRE(cluster.runUntil([&] { return cluster.settled(); }));
+        // The followers receive what piled up in fewer writes.
+        REQUIRE(cluster.m_vms[other].m_applied.size() == 51);
+    }
+
+    SECTION("a member that was away for a short time catches up from the log")
+    {
+        cluster.isolate(other);
+        for (int i = 0; i < 100; ++i)
+            REQUIRE(cluster.proposeAndAwait("entry" + std::to_string(i)));
+        REQUIRE(cluster.m_vms[other].m_applied.empty());
+        cluster.heal();
+        REQUIRE(cluster.runUntil([&] { return cluster.settled(); }));
+        REQUIRE(cluster.m_vms[other].m_member->raft().m_log.m_snapshot.m_index == LogIndex(0));
+    }
+
+    SECTION("a member that was away for long receives a snapshot in chunks")
+    {
+        cluster.m_options.m_snapshotChunkBytes = 100;
+        cluster.crash(first);
+        cluster.start(first);
+        cluster.crash(other);
+        cluster.crash((first + 2) % 3);
+        cluster.start((first + 2) % 3);
+        REQUIRE(cluster.awaitLeader());
+        for (int i = 0; i < 700; ++i)
+            REQUIRE(cluster.proposeAndAwait("entry" + std::to_string(i)));
+        cluster.start(other);
+        REQUIRE(cluster.runUntil([&] { return cluster.settled(); }));
+        REQUIRE(cluster.m_vms[other].m_member->raft().m_log.m_snapshot.m_index >= LogIndex(512));
+        REQUIRE(cluster.m_vms[other].m_appliedSinceStart < 300);
+        REQUIRE(cluster.m_vms[other].m_applied.size() == 700);
+    }
+
+    SECTION("a restart after hundreds of entries replays only those after the snapshot")
+    {
+        for (int i = 0; i < 600; ++i)
+            REQUIRE(cluster.proposeAndAwait("entry" + std::to_string(i)));
+        for (int vm = 0; vm < 3; ++vm) {
+            cluster.crash(vm);
+            cluster.start(vm);
+        }
+        REQUIRE(cluster.awaitLeader());
+        REQUIRE(cluster.runUntil([&] { return cluster.settled(); }));
+        for (const TestVm& vm : cluster.m_vms) {
+            REQUIRE(vm.m_applied.size() == 600);
+            REQUIRE(vm.m_appliedSinceStart < 256);
+        }
+    }
+
+    SECTION("a deposed leader's uncommitted entries give way")
+    {
+        REQUIRE(cluster.proposeAndAwait("shared"));
+        cluster.isolate(first);
+        for (int i = 0; i < 10; ++i)
+            cluster.m_vms[first].m_member->propose("lost" + std::to_string(i), cluster.m_now);
+        cluster.run(Milliseconds(1000));
+        REQUIRE(cluster.awaitLeader());
+        for (int i = 0; i < 5; ++i)
+            REQUIRE(cluster.proposeAndAwait("kept" + std::to_string(i)));
+        cluster.heal();
+        REQUIRE(cluster.runUntil([&] { return cluster.settled(); }));
+        REQUIRE(cluster.m_vms[first].m_applied.size() == 6);
+        REQUIRE(cluster.m_vms[first].m_applied.back().second == "kept4");
+    }
+
+    SECTION("a leader without a majority refuses entries beyond its limit")
+    {
+        cluster.isolate(first);
+        ConsensusMember& leader = *cluster.m_vms[first].m_member;
+        int accepted = 0;
+        while (leader.propose("entry", cluster.m_now))
+            ++accepted;
+        REQUIRE(accepted <= 8192);
+        REQUIRE(leader.lastReason().m_code == ResultCode::Overloaded);
+        REQUIRE_FALSE(leader.propose(std::string(5U << 20U, 'x'), cluster.m_now));
+        REQUIRE(leader.lastReason().m_code == ResultCode::BodyTooLarge);
+    }
+
+    SECTION("large entries and a lossy network")
+    {
+        cluster.m_lossPercent = 20;
+        cluster.m_duplicatePercent = 20;
+        cluster.m_maxDelay = Milliseconds(60);
+        for (int i = 0; i < 20; ++i) {
+            REQUIRE(cluster.awaitLeader());
+            cluster.propose(std::string(300'000, static_cast<char>('a' + i)));
+            cluster.run(Milliseconds(100));
+        }
+        cluster.m_lossPercent = 0;
+        REQUIRE(cluster.runUntil([&] { return cluster.settled(); }));
+    }
+    REQUIRE(cluster.m_violation.empty());
+}
+
+// Guards against a leader that commits an entry of an earlier term by counting copies: such an entry can still be
+// replaced by a member whose last term is later.
+TEST_CASE("Entries of an earlier term are committed only with one of the leader's term")
+{
+    const MonotonicTime now { std::chrono::seconds(1000) };
+    const MemberId a("a#1");
+    const MemberId b("b#1");
+    const MemberId c("c#1");
+    Configuration configuration;
+    for (const MemberId& id : { a, b, c })
+        configuration.m_members.push_back({ id, VmId(id.value().substr(0, 1)), id.value(), true });
+    std::vector<LogEntryPtr> entries;
+    entries.push_back(std::make_shared<const LogEntry>(LogEntry { LogIndex(1), Term(1), configuration }));
+    entries.push_back(std::make_shared<const LogEntry>(LogEntry { LogIndex(2), Term(2), std::string("old") }));
+    RaftState state = startState({}, a, Term(3), MemberId(), makeLog({}, entries), 1, now);
+
+    const auto answer = [&](const MemberId& from, Term term, RaftBody body) {
+        RaftMessage message;
+        message.m_from = from;
+        message.m_to = a;
+        message.m_term = term;
+        message.m_body = std::move(body);
+        return step(state, MessageEvent { message }, now);
+    };
+    step(state, TickEvent {}, state.m_electionDeadline);
+    REQUIRE(state.m_role == Role::PreCandidate);
+    answer(b, Term(4), VoteAnswer { true, true, false });
+    REQUIRE(state.m_role == Role::Candidate);
+    answer(b, Term(4), VoteAnswer { false, true, false });
+    REQUIRE(state.m_role == Role::Leader);
+
+    answer(b, Term(4), AppendAnswer { true, LogIndex(2), Term(), 1 });
+    REQUIRE(state.m_commit == LogIndex(0));
+    REQUIRE_FALSE(isReadyToServe(state));
+    const Effects effects = answer(b, Term(4), AppendAnswer { true, LogIndex(3), Term(), 1 });
+    REQUIRE(state.m_commit == LogIndex(3));
+    REQUIRE(effects.m_apply.size() == 3);
+    REQUIRE(isReadyToServe(state));
+
+    SECTION("an answer of an earlier term does not confirm a round")
+    {
+        const auto confirmed = state.m_confirmedRoundStart;
+        step(state, TickEvent {}, now + Milliseconds(200));
+        REQUIRE(state.m_round == 2);
+        answer(c, Term(3), AppendAnswer { true, LogIndex(3), Term(), 2 });
+        REQUIRE(state.m_confirmedRoundStart == confirmed);
+    }
+    SECTION("a learner's answer does not confirm a round or commit an entry")
+    {
+        REQUIRE_FALSE(step(state, AddLearnerEvent { { MemberId("d#1"), VmId("d"), "d", false } }, now).m_refused);
+        const LogIndex last = lastIndex(state.m_log);
+        answer(MemberId("d#1"), Term(4), AppendAnswer { true, last, Term(), 1 });
+        REQUIRE(state.m_commit < last);
+    }
+}
