Add the replicated control state, its codec and deltas

Control VMs need a state machine that gives the same result on each of them, and entry VMs need a copy of its published part that stays cheap to follow.

- apply() changes ControlState deterministically: operator commands once per command id, version races, layouts, VMs, claims and quarantine.
- OpenClaim and SettleClaim carry a run number.
Without it a delayed 'not run' of an earlier run would free the claim of a later run of the same VM, which could then run twice.
- RemoveEndpoints tells a leave from an expiry, so that a delayed registration cannot bring back an endpoint that left.
- The digest is a sum of record hashes; its cost per change does not depend on the number of endpoints.
- The codec decodes through a bounded parser: nested arrays in hostile input would otherwise exhaust the stack.

--- a/src/libflamingo/control/command.h
+++ b/src/libflamingo/control/command.h
@@ -51,6 +51,9 @@
     struct Target {
         EndpointId m_endpoint;
         Incarnation m_incarnation;
+        // Set when the renewals stopped. Without it the endpoint left by itself, and this
+        // incarnation cannot register again, since a delayed registration would bring it back.
+        bool m_expired = false;
     };
     std::vector<Target> m_targets;
 };
@@ -76,6 +79,9 @@
     std::uint64_t m_bodyHash = 0;
     VmId m_vm;
     Incarnation m_vmIncarnation;
+    // Number of this attempt to run the request, never used twice by the same VM incarnation and
+    // never 0. It ties a delayed SettleClaim to the run that it belongs to. ControlClient sets it.
+    std::uint64_t m_run = 0;
 };
 enum class ClaimOutcome {
     Done, // the endpoint answered
@@ -89,6 +95,10 @@
     Incarnation m_vmIncarnation;
     ClaimOutcome m_outcome = ClaimOutcome::Unknown;
     std::string m_answer; // body of the endpoint's answer when done
+    std::uint64_t m_run = 0; // of the OpenClaim
+    // Hash of the body when the result of the OpenClaim is not known and the run is given up: an
+    // OpenClaim that arrives later must not open the claim. Otherwise 0.
+    std::uint64_t m_bodyHash = 0;
 };
 
 // Crash evidence.
--- a/src/libflamingo/control/publishedstate.h
+++ b/src/libflamingo/control/publishedstate.h
@@ -27,6 +27,9 @@
     std::map<LayoutKey, SnapshotLayout> m_layouts;
     std::map<VmId, VmRecord> m_vms;
     std::map<Fingerprint, QuarantineRecord> m_quarantine;
+    // Sum of the hashes of all records modulo 2^64. applyChange() keeps it, so that the digest costs
+    // the same for each change however many endpoints there are.
+    std::uint64_t m_recordSum = 0;
 };
 
 } // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/control/tests/claimtest.cpp
@@ -0,0 +1,166 @@
+#include "control/apply.h"
+#include "control/requestid.h"
+#include "control/tests/commandmaker.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+
+using namespace flamingo;
+
+TEST_CASE("Claims let a request run at most once")
+{
+    Replica replica;
+    replica.operate("c1", CreateService { ServiceName("orders"), {} });
+    replica.run(admission("vm1"));
+    replica.run(admission("vm2"));
+    const CommandResult opened = replica.run(openClaim("a", "vm1", 1));
+    REQUIRE(opened.m_code == ResultCode::Ok);
+    REQUIRE(opened.m_claimOpened);
+
+    SECTION("the holder may ask again after a lost answer")
+    {
+        REQUIRE(replica.run(openClaim("a", "vm1", 1)).m_claimOpened);
+    }
+    SECTION("guards against a second run while the first is in progress")
+    {
+        REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_code == ResultCode::StillRunning);
+        REQUIRE(replica.run(openClaim("a", "vm1", 2)).m_code == ResultCode::StillRunning);
+    }
+    SECTION("guards against another order being answered with the first one's bill")
+    {
+        REQUIRE(replica.run(openClaim("a", "vm2", 1, 8)).m_code == ResultCode::RequestIdReused);
+    }
+    SECTION("a settled claim")
+    {
+        SECTION("done: repeats the recorded answer")
+        {
+            REQUIRE(replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::Done)).m_code == ResultCode::Ok);
+            const CommandResult again = replica.run(openClaim("a", "vm2", 1));
+            REQUIRE(again.m_code == ResultCode::Ok);
+            REQUIRE_FALSE(again.m_claimOpened);
+            REQUIRE(again.m_text == "{\"bill\":1}");
+            REQUIRE(replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::NotRun)).m_code == ResultCode::AlreadyExists);
+        }
+        SECTION("done with an answer over 64 KiB: never runs again")
+        {
+            SettleClaim large = settleClaim("a", "vm1", 1, ClaimOutcome::Done);
+            large.m_answer.assign(maximumAnswerBytes + 1, 'x');
+            REQUIRE(replica.run(large).m_code == ResultCode::Ok);
+            REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_code == ResultCode::OutcomeUnknown);
+        }
+        SECTION("unknown: never runs again")
+        {
+            replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::Unknown));
+            REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_code == ResultCode::OutcomeUnknown);
+            REQUIRE(replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::NotRun)).m_code == ResultCode::AlreadyExists);
+            REQUIRE(replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::Done)).m_code == ResultCode::Ok);
+        }
+        SECTION("not run: may be claimed again, but a delayed settlement of the first run frees nothing")
+        {
+            replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::NotRun));
+            REQUIRE(replica.run(openClaim("a", "vm1", 1)).m_code == ResultCode::ControlUnavailable);
+            REQUIRE(replica.run(openClaim("a", "vm1", 2)).m_claimOpened);
+            REQUIRE(replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::NotRun)).m_code == ResultCode::UnknownName);
+            REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_code == ResultCode::StillRunning);
+        }
+    }
+    SECTION("guards against a VM settling the claim of another one")
+    {
+        REQUIRE(replica.run(settleClaim("a", "vm2", 1, ClaimOutcome::NotRun)).m_code == ResultCode::UnknownName);
+        REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_code == ResultCode::StillRunning);
+    }
+    SECTION("guards against a claim staying open for ever after its VM is gone")
+    {
+        SECTION("departed") { replica.run(DepartVm { VmId("vm1"), Incarnation(1) }); }
+        SECTION("restarted") { replica.run(admission("vm1", 2)); }
+        REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_code == ResultCode::OutcomeUnknown);
+        REQUIRE(replica.run(openClaim("b", "vm1", 2)).m_code == ResultCode::NoLease);
+        REQUIRE(replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::Done)).m_code == ResultCode::Ok);
+        REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_text == "{\"bill\":1}");
+    }
+    SECTION("guards against an OpenClaim that arrives after its VM said not run")
+    {
+        SettleClaim givenUp = settleClaim("late", "vm1", 5, ClaimOutcome::NotRun);
+        givenUp.m_bodyHash = 7;
+        REQUIRE(replica.run(givenUp).m_code == ResultCode::Ok);
+        REQUIRE(replica.run(openClaim("late", "vm1", 5)).m_code == ResultCode::ControlUnavailable);
+        REQUIRE(replica.run(openClaim("late", "vm2", 1)).m_claimOpened);
+    }
+    SECTION("guards against a run after its claim was forgotten")
+    {
+        replica.run(settleClaim("a", "vm1", 1, ClaimOutcome::Unknown));
+        replica.advance(claimWindow);
+        REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_code == ResultCode::OutcomeUnknown);
+        replica.advance(std::chrono::milliseconds(1));
+        REQUIRE(replica.m_state.m_claims.empty());
+        REQUIRE(replica.m_state.m_claimBytes == 0);
+        REQUIRE(replica.run(openClaim("a", "vm2", 1)).m_code == ResultCode::RequestIdExpired);
+    }
+    SECTION("ids ahead of log time or without a time are refused")
+    {
+        OpenClaim claim = openClaim("x", "vm1", 1);
+        claim.m_request = requestId("x", startSeconds + 301);
+        REQUIRE(replica.run(claim).m_code == ResultCode::RequestIdExpired);
+        for (const char* text : { "", "-", "12", "12-", "x-1", "1234567890123-1", "12-a b" }) {
+            claim.m_request = RequestId(text);
+            REQUIRE(replica.run(claim).m_code == ResultCode::InvalidField);
+        }
+    }
+    SECTION("guards against claims using more than 64 MB")
+    {
+        std::uint64_t run = 10;
+        ResultCode code = ResultCode::Ok;
+        while (code == ResultCode::Ok && run < 2000) {
+            const std::string token = "big" + std::to_string(++run);
+            code = replica.run(openClaim(token, "vm1", run)).m_code;
+            SettleClaim done = settleClaim(token, "vm1", run, ClaimOutcome::Done);
+            done.m_answer.assign(maximumAnswerBytes, 'x');
+            replica.run(done);
+        }
+        // An answer that no longer fits is dropped, so that claims themselves fill the rest.
+        for (; code == ResultCode::Ok && run < 400000; ++run)
+            code = replica.run(openClaim("small" + std::to_string(run), "vm1", run)).m_code;
+        REQUIRE(code == ResultCode::ClaimsFull);
+        REQUIRE(replica.m_state.m_claimBytes <= maximumClaimBytes);
+        REQUIRE(replica.run(openClaim("a", "vm1", 1)).m_claimOpened);
+    }
+}
+
+TEST_CASE("Claims against a naive model")
+{
+    rc::prop("guards against two runs being allowed to send, and a run after not-run was recorded", []() {
+        Replica replica;
+        replica.operate("c1", CreateService { ServiceName("orders"), {} });
+        // Runs that may have sent: each run that was opened and not settled as not run.
+        std::map<std::pair<std::string, std::uint64_t>, bool> open;
+        const int steps = *rc::gen::inRange(0, 60);
+        for (int step = 0; step < steps; ++step) {
+            const std::string vm = *rc::gen::element<std::string>("vm1", "vm2");
+            const auto run = *rc::gen::inRange<std::uint64_t>(1, 4);
+            switch (*rc::gen::inRange(0, 4)) {
+            case 0:
+                replica.run(admission(vm));
+                break;
+            case 1:
+                replica.run(DepartVm { VmId(vm), Incarnation(1) });
+                break;
+            case 2:
+                if (replica.run(openClaim("a", vm, run)).m_claimOpened) {
+                    for (const auto& [holder, maySend] : open)
+                        RC_ASSERT(!maySend || holder == std::make_pair(vm, run));
+                    open[{ vm, run }] = true;
+                }
+                break;
+            default:
+                const auto outcome = *rc::gen::element(ClaimOutcome::Done, ClaimOutcome::NotRun, ClaimOutcome::Unknown);
+                const auto holder = open.find({ vm, run });
+                // Only a run that did not send says so; here each one that says so did not.
+                if (replica.run(settleClaim("a", vm, run, outcome)).m_code == ResultCode::Ok
+                    && outcome == ClaimOutcome::NotRun && holder != open.end())
+                    holder->second = false;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/src/libflamingo/control/tests/codectest.cpp
@@ -0,0 +1,142 @@
+#include "control/codec.h"
+#include "control/apply.h"
+#include "control/digest.h"
+#include "control/tests/commandmaker.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace flamingo;
+using Json = nlohmann::json;
+
+namespace {
+
+std::string cbor(const Json& json)
+{
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+std::vector<ControlMessage> oneOfEach()
+{
+    Replica replica;
+    replica.operate("c1", CreateService { ServiceName("verse"), {} });
+    replica.run(registration("e1", "verse", 1, 0));
+    Delta delta { Revision(1), Revision(2), ConfigurationVersion(1), replica.m_changes, 99 };
+    delta.m_changes.emplace_back(ErasedQuarantine { Fingerprint(~std::uint64_t { 0 }) });
+    return { Hello { VmId("vm1"), Incarnation(3), DataCentreName("north"), "127.0.0.1:80", Revision(4), 5 },
+        Renew { 1, Revision(2), { EndpointId("e1"), EndpointId("e2") }, true },
+        CommandRequest { 7, { CommandId("c"), ConfigurationVersion(3), LogTime(9), openClaim("a", "vm1", 1) } },
+        StatusRequest { 8, Revision(9) }, NotLeader { "127.0.0.1:7000", 3 },
+        Grant { 4, Milliseconds(2900), true, LogTime(startSeconds * 1000) }, delta,
+        FullCopy { replica.m_state.m_published, publishedDigest(replica.m_state.m_published) },
+        CommandReply { 1, { ResultCode::VersionMismatch, "text", Revision(3), ConfigurationVersion(4), true } },
+        StatusReply { 2, 3, 4, true } };
+}
+
+} // namespace
+
+TEST_CASE("Messages survive the codec")
+{
+    Reason reason;
+    const auto messages = oneOfEach();
+    REQUIRE(messages.size() == std::variant_size_v<ControlMessage>);
+    for (const ControlMessage& message : messages) {
+        const std::string bytes = encodeMessage(message);
+        const auto decoded = decodeMessage(bytes, reason);
+        REQUIRE(decoded);
+        REQUIRE(decoded->index() == message.index());
+        REQUIRE(encodeMessage(*decoded) == bytes);
+
+        for (std::size_t length = 0; length < bytes.size(); ++length) {
+            reason = {};
+            INFO("guards against a torn message being taken for a whole one: " << length << " bytes");
+            REQUIRE_FALSE(decodeMessage(std::string_view(bytes).substr(0, length), reason));
+            REQUIRE(reason.m_code == ResultCode::MalformedBody);
+            REQUIRE_FALSE(reason.m_text.empty());
+        }
+        REQUIRE_FALSE(decodeMessage(bytes + "x", reason));
+
+        // Guards against one wrong field value being taken for another type.
+        const Json json = Json::from_cbor(bytes);
+        for (std::size_t field = 0; field < json["b"].size(); ++field) {
+            Json wrong = json;
+            wrong["b"][field] = Json::object({ { "not", "expected" } });
+            REQUIRE_FALSE(decodeMessage(cbor(wrong), reason));
+            wrong = json;
+            wrong["b"].erase(field);
+            REQUIRE_FALSE(decodeMessage(cbor(wrong), reason));
+        }
+    }
+}
+
+TEST_CASE("The codec names what it refuses")
+{
+    Reason reason;
+    SECTION("another protocol version")
+    {
+        REQUIRE_FALSE(decodeMessage(cbor({ { "v", 2 }, { "t", "renew" }, { "b", Json::array() } }), reason));
+        REQUIRE(reason.m_code == ResultCode::UnsupportedProtocol);
+    }
+    SECTION("an unknown message type")
+    {
+        REQUIRE_FALSE(decodeMessage(cbor({ { "v", 1 }, { "t", "bogus" }, { "b", Json::array() } }), reason));
+        REQUIRE(reason.m_text == "unknown message type bogus");
+    }
+    SECTION("a negative or oversized number")
+    {
+        for (const Json& number : { Json(-1), Json(1.5), Json(std::uint64_t { 1 } << 40) }) {
+            const Json reply = Json::array({ 1, number, 2, true });
+            REQUIRE_FALSE(decodeMessage(cbor({ { "v", 1 }, { "t", "statusReply" }, { "b", reply } }), reason));
+            REQUIRE(reason.m_text.find("StatusReply field 1") == 0);
+        }
+    }
+    SECTION("guards against deep nesting exhausting the stack")
+    {
+        REQUIRE_FALSE(decodeMessage(std::string(4 * 1024 * 1024, '\x81'), reason));
+        REQUIRE(reason.m_code == ResultCode::MalformedBody);
+    }
+    SECTION("guards against a huge length being reserved")
+    {
+        REQUIRE_FALSE(decodeMessage("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", reason));
+        REQUIRE_FALSE(decodeMessage("\x7b\x7f\xff\xff\xff\xff\xff\xff\xff", reason));
+    }
+    SECTION("an unknown command, result code or claim phase")
+    {
+        const Json command = Json::array({ "id", nullptr, 1, Json::array({ 17, Json::array() }) });
+        REQUIRE_FALSE(decodeCommand(cbor({ { "v", 1 }, { "t", "command" }, { "b", command } }), reason));
+        const Json result = Json::array({ 1, Json::array({ 999, "", 1, 1, false }) });
+        REQUIRE_FALSE(decodeMessage(cbor({ { "v", 1 }, { "t", "commandReply" }, { "b", result } }), reason));
+        REQUIRE(reason.m_text.find("unknown result code 999") != std::string::npos);
+    }
+    SECTION("another kind of value")
+    {
+        REQUIRE_FALSE(decodeCommand(encodePublishedState({}), reason));
+        REQUIRE_FALSE(decodeControlState("", reason));
+    }
+}
+
+TEST_CASE("The codec and random input")
+{
+    rc::prop("guards against a changed byte crashing the process", []() {
+        const auto messages = oneOfEach();
+        std::string bytes = encodeMessage(messages[*rc::gen::inRange<std::size_t>(0, messages.size())]);
+        const int flips = *rc::gen::inRange(1, 4);
+        for (int flip = 0; flip < flips; ++flip)
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+        Reason reason;
+        const auto decoded = decodeMessage(bytes, reason);
+        RC_ASSERT(decoded.has_value() || reason.m_code != ResultCode::Ok);
+    });
+    rc::prop("guards against a command losing a field on its way to the log", []() {
+        const LogEntry entry { *rc::gen::arbitrary<std::uint64_t>(), 4, *anyCommand() };
+        const std::string bytes = encodeLogEntry(entry);
+        Reason reason;
+        const auto decoded = decodeLogEntry(bytes, reason);
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(encodeLogEntry(*decoded) == bytes);
+        RC_ASSERT(commandHash(decoded->m_command) == commandHash(entry.m_command));
+    });
+}
--- /dev/null
+++ b/src/libflamingo/control/tests/commandmaker.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "control/apply.h"
+
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+namespace flamingo {
+
+// Log time at which the tests start; request ids of the tests carry it.
+constexpr std::int64_t startSeconds = 1800000000;
+
+/** Applies commands one after another with its own clock. */
+class Replica {
+public:
+    ControlState m_state;
+    std::vector<Change> m_changes;
+    LogTime m_now { startSeconds * 1000 };
+
+    CommandResult run(CommandBody body)
+    {
+        return apply(m_state, Command { {}, {}, m_now, std::move(body) }, m_changes);
+    }
+    CommandResult operate(const std::string& id, CommandBody body, std::optional<std::uint64_t> version = {})
+    {
+        Command command { CommandId(id), {}, m_now, std::move(body) };
+        if (version)
+            command.m_expectedVersion = ConfigurationVersion(*version);
+        return apply(m_state, command, m_changes);
+    }
+    void advance(Milliseconds time)
+    {
+        m_now = LogTime(m_now.value() + time.count());
+        run(AdvanceTime {});
+    }
+};
+
+inline EndpointRecord endpoint(const std::string& id, const std::string& service, std::uint64_t incarnation = 1)
+{
+    EndpointRecord record;
+    record.m_id = EndpointId(id);
+    record.m_service = ServiceName(service);
+    record.m_address = "127.0.0.1";
+    record.m_port = 9000;
+    record.m_dataCentre = DataCentreName("north");
+    record.m_incarnation = Incarnation(incarnation);
+    return record;
+}
+
+inline SnapshotLayout layout(const std::string& service, std::uint64_t version, std::vector<std::uint32_t> weights)
+{
+    return { { ServiceName(service), SnapshotVersion(version), LayoutId(1) }, std::move(weights) };
+}
+
+/** Returns a registration that holds one shard of a two-shard snapshot. */
+inline RegisterEndpoint registration(const std::string& id, const std::string& service, std::uint64_t version,
+    std::uint32_t shard, std::uint64_t incarnation = 1)
+{
+    RegisterEndpoint command { endpoint(id, service, incarnation), { layout(service, version, { 1, 3 }) } };
+    command.m_endpoint.m_holdings.push_back({ SnapshotVersion(version), LayoutId(1), ShardIndex(shard) });
+    return command;
+}
+
+inline AdmitVm admission(const std::string& vm, std::uint64_t incarnation = 1)
+{
+    AdmitVm command;
+    command.m_vm.m_id = VmId(vm);
+    command.m_vm.m_incarnation = Incarnation(incarnation);
+    return command;
+}
+
+inline RequestId requestId(const std::string& token, std::int64_t seconds = startSeconds)
+{
+    return RequestId(std::to_string(seconds) + "-" + token);
+}
+
+inline OpenClaim openClaim(const std::string& token, const std::string& vm, std::uint64_t run, std::uint64_t hash = 7)
+{
+    return { ServiceName("orders"), requestId(token), hash, VmId(vm), Incarnation(1), run };
+}
+
+inline SettleClaim settleClaim(const std::string& token, const std::string& vm, std::uint64_t run, ClaimOutcome outcome)
+{
+    return { ServiceName("orders"), requestId(token), VmId(vm), Incarnation(1), outcome, "{\"bill\":1}", run, 0 };
+}
+
+/** Generates commands over few names, so that they meet each other often. */
+inline rc::Gen<Command> anyCommand()
+{
+    return rc::gen::exec([]() {
+        const auto pick = [](int bound) { return *rc::gen::inRange(0, bound); };
+        const auto service = std::string("service") + std::to_string(pick(3));
+        const auto name = std::string("endpoint") + std::to_string(pick(6));
+        const auto vm = std::string("vm") + std::to_string(pick(3));
+        const auto incarnation = static_cast<std::uint64_t>(pick(2));
+        const auto fingerprint = Fingerprint(static_cast<std::uint64_t>(pick(3)));
+        Command command;
+        command.m_proposedAt = LogTime(startSeconds * 1000 + pick(4) * 1200000);
+        command.m_id = CommandId("command" + std::to_string(pick(100)));
+        if (pick(4) == 0)
+            command.m_expectedVersion = ConfigurationVersion(static_cast<std::uint64_t>(pick(10)));
+        ServicePatch patch;
+        patch.m_coverageFloor = pick(5) / 4.0;
+        patch.m_declaredKinds["bill"] = Idempotence::NonIdempotent;
+        const RequestId request = requestId("r" + std::to_string(pick(4)));
+        const auto run = static_cast<std::uint64_t>(1 + pick(3));
+        const std::vector<CommandBody> bodies { AdvanceTime {}, CreateService { ServiceName(service), patch },
+            AlterService { ServiceName(service), patch }, DropService { ServiceName(service) },
+            DrainEndpoint { EndpointId(name) }, RestoreEndpoint { EndpointId(name) }, LiftQuarantine { fingerprint },
+            registration(name, service, static_cast<std::uint64_t>(1 + pick(3)), static_cast<std::uint32_t>(pick(3)),
+                incarnation),
+            DrainOwnEndpoint { EndpointId(name), Incarnation(incarnation) },
+            RemoveEndpoints { { { EndpointId(name), Incarnation(incarnation), pick(2) == 0 } } },
+            admission(vm, incarnation), DepartVm { VmId(vm), Incarnation(incarnation) },
+            RemoveVm { VmId(vm), Incarnation(incarnation) },
+            OpenClaim { ServiceName(service), request, static_cast<std::uint64_t>(1 + pick(2)), VmId(vm),
+                Incarnation(incarnation), run },
+            SettleClaim { ServiceName(service), request, VmId(vm), Incarnation(incarnation),
+                static_cast<ClaimOutcome>(pick(3)), "answer", run, static_cast<std::uint64_t>(pick(3)) },
+            ReportDeath { EndpointId(name), Incarnation(incarnation), ServiceName(service), { fingerprint } },
+            ClearSuspect { fingerprint } };
+        static_assert(std::variant_size_v<CommandBody> == 17);
+        // Services and endpoints come first more often, so that the other commands find something.
+        const int index = pick(2) == 0 ? pick(static_cast<int>(bodies.size())) : (pick(3) == 0 ? 1 : 7);
+        command.m_body = bodies[static_cast<std::size_t>(index)];
+        return command;
+    });
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/control/tests/quarantinetest.cpp
@@ -0,0 +1,80 @@
+#include "control/apply.h"
+#include "control/tests/commandmaker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+
+TEST_CASE("A request that crashes endpoints is quarantined")
+{
+    Replica replica;
+    const auto& quarantine = replica.m_state.m_published.m_quarantine;
+    const auto death = [](const char* endpoint, std::uint64_t incarnation = 1) {
+        return ReportDeath { EndpointId(endpoint), Incarnation(incarnation), ServiceName("verse"),
+            { Fingerprint(5), Fingerprint(6) } };
+    };
+    replica.run(death("e1"));
+    REQUIRE(quarantine.empty());
+
+    SECTION("guards against one endpoint that keeps crashing by itself")
+    {
+        replica.run(death("e1", 2));
+        REQUIRE(quarantine.empty());
+    }
+    SECTION("guards against a request that succeeded being blamed for later deaths")
+    {
+        replica.run(ClearSuspect { Fingerprint(5) });
+        replica.run(death("e2"));
+        replica.run(death("e3"));
+        REQUIRE(quarantine.count(Fingerprint(5)) == 0);
+        REQUIRE(quarantine.count(Fingerprint(6)) == 1);
+    }
+    SECTION("evidence is forgotten after an hour")
+    {
+        replica.advance(quarantinePeriod + std::chrono::seconds(1));
+        replica.run(death("e2"));
+        REQUIRE(quarantine.empty());
+    }
+    SECTION("the death of a second endpoint decides")
+    {
+        const CommandResult result = replica.run(death("e2"));
+        REQUIRE(result.m_text == "quarantined: 0000000000000005, 0000000000000006");
+        REQUIRE(quarantine.at(Fingerprint(5)).m_endpoints.size() == 2);
+        REQUIRE(result.m_revision == replica.m_state.m_published.m_revision);
+
+        SECTION("for one hour of log time")
+        {
+            replica.advance(quarantinePeriod - std::chrono::milliseconds(1));
+            REQUIRE(quarantine.size() == 2);
+            replica.advance(std::chrono::milliseconds(1));
+            REQUIRE(quarantine.empty());
+            replica.run(death("e3"));
+            REQUIRE(quarantine.empty());
+        }
+        SECTION("unless an operator lifts it")
+        {
+            REQUIRE(replica.operate("l1", LiftQuarantine { Fingerprint(5) }).m_code == ResultCode::Ok);
+            REQUIRE(quarantine.size() == 1);
+            replica.run(death("e4"));
+            REQUIRE(quarantine.size() == 1);
+        }
+        SECTION("or a late success clears it")
+        {
+            replica.run(ClearSuspect { Fingerprint(6) });
+            REQUIRE(quarantine.size() == 1);
+        }
+    }
+    SECTION("guards against evidence growing without bound")
+    {
+        ReportDeath many { EndpointId("e9"), Incarnation(1), ServiceName("verse"), {} };
+        for (std::uint64_t index = 0; index < 3 * 4096; ++index) {
+            many.m_suspects.emplace_back(100 + index);
+            if (many.m_suspects.size() == 4096) {
+                REQUIRE(replica.run(many).m_code == ResultCode::Ok);
+                many.m_suspects.clear();
+            }
+        }
+        REQUIRE(replica.m_state.m_suspects.size() == maximumSuspects);
+        REQUIRE(replica.m_state.m_suspectOrder.size() == maximumSuspects);
+    }
+}
