--- a/src/libflamingo/control/codec.cpp
+++ b/src/libflamingo/control/codec.cpp
@@ -440,10 +440,10 @@
     return std::nullopt;
 }
 
-std::string encodeLogEntry(const LogEntry& entry) { return envelope("entry", toJson(entry)); }
-std::optional<LogEntry> decodeLogEntry(std::string_view bytes, Reason& reason)
+std::string encodeProposedCommand(const ProposedCommand& entry) { return envelope("entry", toJson(entry)); }
+std::optional<ProposedCommand> decodeProposedCommand(std::string_view bytes, Reason& reason)
 {
-    return decodeAs<LogEntry>("entry", bytes, reason);
+    return decodeAs<ProposedCommand>("entry", bytes, reason);
 }
 
 std::string encodeCommand(const Command& command) { return envelope("command", toJson(command)); }
--- a/src/libflamingo/control/codec.h
+++ b/src/libflamingo/control/codec.h
@@ -2,8 +2,8 @@
 
 #include "base/reason.h"
 #include "control/controlstate.h"
-#include "control/logentry.h"
 #include "control/messages.h"
+#include "control/proposedcommand.h"
 
 #include <optional>
 #include <string>
@@ -28,8 +28,8 @@
 std::optional<ControlMessage> decodeMessage(std::string_view bytes, Reason& reason);
 
 /** Returns the log entry as CBOR map {v, t: "entry", b}. */
-std::string encodeLogEntry(const LogEntry& entry);
-std::optional<LogEntry> decodeLogEntry(std::string_view bytes, Reason& reason);
+std::string encodeProposedCommand(const ProposedCommand& entry);
+std::optional<ProposedCommand> decodeProposedCommand(std::string_view bytes, Reason& reason);
 
 /** Returns the command as CBOR map {v, t: "command", b}. */
 std::string encodeCommand(const Command& command);
--- /dev/null
+++ b/src/libflamingo/control/controlclient.cpp
@@ -0,0 +1,238 @@
+#include "control/controlclient.h"
+
+#include "control/codec.h"
+
+#include <algorithm>
+
+namespace flamingo {
+
+ControlClient::ControlClient(ControlClientSettings settings, ControlClientPorts ports)
+    : m_settings(std::move(settings))
+    , m_ports(std::move(ports))
+    , m_leaseView(std::make_shared<LeaseView>())
+{
+    // VMs that start together begin at different control VMs.
+    if (!m_settings.m_controlAddresses.empty())
+        m_nextAddress
+            = static_cast<std::size_t>(m_ports.m_random() * static_cast<double>(m_settings.m_controlAddresses.size()));
+}
+
+// --- Link.
+
+void ControlClient::connect(const std::string& address, MonotonicTime now)
+{
+    m_phase = Phase::Connecting;
+    m_phaseSince = now;
+    m_link = LinkId(m_link.value() + 1);
+    m_linkAddress = address;
+    m_ports.m_connect(m_link, address);
+}
+
+void ControlClient::abandonLink()
+{
+    if (m_phase != Phase::Waiting)
+        m_ports.m_close(m_link);
+    m_phase = Phase::Waiting;
+    m_unansweredSince.reset();
+    m_lease.m_renewals.clear(); // no answer can come any more
+}
+
+void ControlClient::fail(Reason reason, MonotonicTime now)
+{
+    m_reason = std::move(reason);
+    abandonLink();
+    const int doublings = std::min(m_failures++, 10);
+    const Milliseconds backoff = std::min(firstBackoff * (1 << doublings), maximumBackoff);
+    // Between half and the whole backoff, so that VMs that lost the same leader spread out.
+    const double factor = 0.5 + 0.5 * m_ports.m_random();
+    m_retryAt = now + std::chrono::duration_cast<Microseconds>(backoff * factor);
+}
+
+void ControlClient::followHint(const NotLeader& message, MonotonicTime now)
+{
+    // Two control VMs that name each other would otherwise be asked in turn without a pause.
+    constexpr int maximumHints = 3;
+    const bool usable = !message.m_leaderAddress.empty() && message.m_leaderAddress != m_linkAddress;
+    if (usable && m_hintsFollowed < maximumHints) {
+        ++m_hintsFollowed;
+        abandonLink();
+        connect(message.m_leaderAddress, now);
+        return;
+    }
+    m_hint = usable ? message.m_leaderAddress : std::string();
+    fail(Reason { ResultCode::NotLeader, m_linkAddress + " does not lead" }, now);
+}
+
+void ControlClient::onLinkOpened(LinkId link, MonotonicTime now)
+{
+    if (link != m_link || m_phase != Phase::Connecting)
+        return;
+    m_phase = Phase::Open;
+    m_phaseSince = now;
+    sendHello(false);
+    sendRenew(now);
+    for (auto& [sequence, pending] : m_pending)
+        sendPending(pending);
+}
+
+void ControlClient::onLinkClosed(LinkId link, MonotonicTime now)
+{
+    if (link != m_link || m_phase == Phase::Waiting)
+        return;
+    fail(Reason { ResultCode::ControlUnavailable, "the link to control VM " + m_linkAddress + " closed" }, now);
+}
+
+void ControlClient::send(const ControlMessage& message) { m_ports.m_send(m_link, encodeMessage(message)); }
+
+void ControlClient::sendHello(bool wantFullCopy)
+{
+    Hello hello { m_settings.m_vm, m_settings.m_incarnation, m_settings.m_dataCentre, m_settings.m_address,
+        m_state.current()->m_revision, m_state.digest() };
+    if (wantFullCopy) {
+        hello.m_appliedRevision = Revision();
+        hello.m_appliedDigest = 0;
+    }
+    send(hello);
+}
+
+void ControlClient::sendRenew(MonotonicTime now)
+{
+    Renew renew { ++m_sequence, m_state.current()->m_revision, {}, m_leaving };
+    renew.m_endpointRenewals.assign(m_endpointRenewals.begin(), m_endpointRenewals.end());
+    m_endpointRenewals.clear();
+    if (m_leaving && m_leavingSequence == 0)
+        m_leavingSequence = m_sequence;
+    noteRenewal(m_lease, m_sequence, now);
+    if (!m_unansweredSince)
+        m_unansweredSince = now;
+    m_nextRenew = now + (m_leaseView->valid(now) || m_leaving ? renewInterval : startingRenewInterval);
+    send(renew);
+}
+
+void ControlClient::sendPending(Pending& pending)
+{
+    pending.m_everSent = true;
+    std::visit([this](const auto& request) { send(request); }, pending.m_request);
+}
+
+// --- Messages.
+
+void ControlClient::onMessage(LinkId link, std::string_view bytes, MonotonicTime now)
+{
+    if (link != m_link || m_phase != Phase::Open)
+        return;
+    Reason reason;
+    auto message = decodeMessage(bytes, reason);
+    if (!message) {
+        fail(std::move(reason), now);
+        return;
+    }
+    std::visit([this, now](auto& fields) { handle(fields, now); }, *message);
+}
+
+void ControlClient::refuseMessage(MonotonicTime now)
+{
+    fail(Reason { ResultCode::MalformedBody,
+             "control VM " + m_linkAddress + " sent a message that is not for entry VMs" },
+        now);
+}
+
+void ControlClient::handle(const Grant& grant, MonotonicTime)
+{
+    m_logTime = std::max(m_logTime, grant.m_logTime);
+    if (m_leaving) {
+        m_left = m_left || (m_leavingSequence != 0 && grant.m_sequence >= m_leavingSequence);
+        m_unansweredSince.reset();
+        return;
+    }
+    if (!takeGrant(m_lease, grant.m_sequence, grant.m_remaining))
+        return;
+    m_unansweredSince.reset();
+    if (!m_lease.m_renewals.empty())
+        m_unansweredSince = m_lease.m_renewals.begin()->second;
+    if (grant.m_remaining > Milliseconds(0)) {
+        m_failures = 0;
+        m_hintsFollowed = 0;
+    }
+    const VmRecord* own = ownRecord();
+    if (grant.m_admitted && own != nullptr)
+        m_admittedIn = own->m_admittedIn;
+    updateLeaseView();
+}
+
+void ControlClient::handle(const NotLeader& message, MonotonicTime now) { followHint(message, now); }
+
+void ControlClient::handle(Delta& delta, MonotonicTime now) { afterUpdate(m_state.take(std::move(delta)), now); }
+
+void ControlClient::handle(FullCopy& copy, MonotonicTime now) { afterUpdate(m_state.take(std::move(copy)), now); }
+
+void ControlClient::afterUpdate(StateUpdate update, MonotonicTime now)
+{
+    switch (update) {
+    case StateUpdate::Applied:
+        // Work must see the state before the lease is looked at again and the revision is confirmed.
+        m_ports.m_onState(m_state.current());
+        updateLeaseView();
+        sendRenew(now);
+        return;
+    case StateUpdate::Stale:
+        m_reason = Reason { ResultCode::VersionMismatch,
+            "control VM " + m_linkAddress + " sent a state older than the one here" };
+        return;
+    case StateUpdate::Mismatch:
+        m_reason = Reason { ResultCode::VersionMismatch, "a state change did not match; asking for a full copy" };
+        sendHello(true);
+        return;
+    }
+}
+
+const VmRecord* ControlClient::ownRecord() const
+{
+    const auto& vms = state()->m_vms;
+    const auto own = vms.find(m_settings.m_vm);
+    const bool isOwn
+        = own != vms.end() && own->second.m_incarnation == m_settings.m_incarnation && !own->second.m_departed;
+    return isOwn ? &own->second : nullptr;
+}
+
+void ControlClient::updateLeaseView()
+{
+    const VmRecord* own = ownRecord();
+    const bool admitted = own != nullptr && m_admittedIn == own->m_admittedIn;
+    m_leaseView->set(admitted && !m_leaving && m_lease.m_validUntil ? *m_lease.m_validUntil : MonotonicTime());
+}
+
+// --- Time.
+
+void ControlClient::tick(MonotonicTime now)
+{
+    if (m_phase == Phase::Waiting && now >= m_retryAt && !m_settings.m_controlAddresses.empty()) {
+        const auto& addresses = m_settings.m_controlAddresses;
+        std::string address = std::move(m_hint);
+        m_hint.clear();
+        if (address.empty())
+            address = addresses[m_nextAddress++ % addresses.size()];
+        connect(address, now);
+    }
+    if (m_phase == Phase::Connecting && now - m_phaseSince >= connectTimeout)
+        fail(Reason { ResultCode::ControlUnavailable, "connecting to control VM " + m_linkAddress + " took too long" },
+            now);
+    if (m_phase == Phase::Open && m_unansweredSince && now - *m_unansweredSince >= answerTimeout)
+        fail(Reason { ResultCode::ControlUnavailable, "control VM " + m_linkAddress + " does not answer" }, now);
+    if (m_phase == Phase::Open && now >= m_nextRenew)
+        sendRenew(now);
+    expirePending(now);
+}
+
+void ControlClient::noteEndpointRenewal(const EndpointId& endpoint) { m_endpointRenewals.insert(endpoint); }
+
+void ControlClient::leave(MonotonicTime now)
+{
+    m_leaving = true;
+    dropLease(m_lease);
+    updateLeaseView();
+    if (m_phase == Phase::Open)
+        sendRenew(now);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/control/controlservice.cpp
@@ -0,0 +1,397 @@
+#include "control/controlservice.h"
+
+#include "control/apply.h"
+#include "control/codec.h"
+#include "control/digest.h"
+
+#include <algorithm>
+
+namespace flamingo {
+
+ControlService::ControlService(ControlServicePorts ports, std::uint64_t proposer)
+    : m_ports(std::move(ports))
+    , m_proposer(proposer)
+{
+    rebuildIndexes(m_state);
+    m_history.reset(m_state.m_published);
+}
+
+// --- Role.
+
+void ControlService::onRoleChanged(MonotonicTime now) { refreshRole(now); }
+
+void ControlService::refreshRole(MonotonicTime now)
+{
+    const std::optional<MonotonicTime> since = m_ports.m_leaderSince();
+    if (since != m_leaderSince) {
+        loseLeadership();
+        m_leaderSince = since;
+    }
+    const bool ready = since && m_ports.m_readyToServe();
+    if (ready && !m_ready)
+        becomeReady(now);
+    m_ready = ready;
+}
+
+void ControlService::becomeReady(MonotonicTime now)
+{
+    // Earlier leaders may have reported anything up to here as in force.
+    m_leases = LeaseTable {};
+    m_leases.m_floor = m_state.m_published.m_revision;
+    m_lagFloor = m_state.m_published.m_revision;
+    m_lagSamples.clear();
+    m_wanted = m_state.m_published.m_revision;
+    m_vmHeard.clear();
+    m_endpointHeard.clear();
+    m_graceFrom = now;
+    m_lastTick = now;
+    m_nextExpiry = now;
+}
+
+void ControlService::loseLeadership()
+{
+    const bool wasLeader = m_leaderSince.has_value();
+    m_ready = false;
+    m_leases = LeaseTable {};
+    // The entry may still be committed by the next leader. The entry VM asks it again; a command
+    // applies once however often it is proposed.
+    m_pending.clear();
+    m_ownProposals.clear();
+    if (!wasLeader)
+        return;
+    for (const auto& [link, session] : m_sessions)
+        sendNotLeader(link, 0);
+}
+
+// --- Links.
+
+void ControlService::onLinkOpened(LinkId link) { m_sessions[link] = Session {}; }
+
+void ControlService::onLinkClosed(LinkId link) { m_sessions.erase(link); }
+
+bool ControlService::onMessage(LinkId link, std::string_view bytes, MonotonicTime now)
+{
+    refreshRole(now);
+    const auto session = m_sessions.find(link);
+    if (session == m_sessions.end()) {
+        m_reason = Reason { ResultCode::InternalError, "message on an unknown link" };
+        return false;
+    }
+    const auto message = decodeMessage(bytes, m_reason);
+    if (!message)
+        return false;
+    return std::visit([&](const auto& fields) { return handle(link, session->second, fields, now); }, *message);
+}
+
+bool ControlService::refuseMessage()
+{
+    m_reason = Reason { ResultCode::MalformedBody, "a message of this type is not for a control VM" };
+    return false;
+}
+
+void ControlService::send(LinkId link, const ControlMessage& message) { m_ports.m_send(link, encodeMessage(message)); }
+
+void ControlService::sendNotLeader(LinkId link, std::uint64_t sequence)
+{
+    send(link, NotLeader { m_ports.m_leaderAddress(), sequence });
+}
+
+bool ControlService::handle(LinkId link, Session& session, const Hello& hello, MonotonicTime now)
+{
+    if (session.m_hello
+        && (session.m_hello->m_vm != hello.m_vm || session.m_hello->m_incarnation != hello.m_incarnation)) {
+        m_reason = Reason { ResultCode::InvalidField, "a link belongs to one process of one VM" };
+        return false;
+    }
+    session.m_hello = hello;
+    session.m_base = hello.m_appliedRevision;
+    session.m_baseDigest = hello.m_appliedDigest;
+    session.m_inFlight.reset();
+    if (!isReady()) {
+        sendNotLeader(link, 0);
+        return true;
+    }
+    m_vmHeard[{ hello.m_vm, hello.m_incarnation }] = now;
+    considerAdmission(session, now);
+    pushState(link, session);
+    return true;
+}
+
+bool ControlService::handle(LinkId link, Session& session, const Renew& renew, MonotonicTime now)
+{
+    if (!session.m_hello) {
+        m_reason = Reason { ResultCode::MalformedBody, "a renewal needs a hello before it" };
+        return false;
+    }
+    if (!isReady()) {
+        sendNotLeader(link, 0);
+        return true;
+    }
+    ++m_counters.m_renewals;
+    noteRenewals(session, renew, now);
+    const VmProcess process { session.m_hello->m_vm, session.m_hello->m_incarnation };
+    if (session.m_inFlight && renew.m_appliedRevision >= *session.m_inFlight) {
+        session.m_inFlight.reset();
+        session.m_base = renew.m_appliedRevision;
+        session.m_baseDigest = m_history.digestAt(renew.m_appliedRevision).value_or(0);
+    }
+    if (renew.m_leaving) {
+        endLease(m_leases, process.first, process.second);
+        proposeOwn("depart " + process.first.value(), DepartVm { process.first, process.second }, now);
+        send(link, Grant { renew.m_sequence, Milliseconds(0), false, m_state.m_logTime });
+        return true;
+    }
+    confirmRevision(m_leases, process.first, process.second, renew.m_appliedRevision, now);
+    grant(link, session, renew, now);
+    return true;
+}
+
+void ControlService::noteRenewals(const Session& session, const Renew& renew, MonotonicTime now)
+{
+    m_counters.m_endpointRenewals += renew.m_endpointRenewals.size();
+    for (const EndpointId& endpoint : renew.m_endpointRenewals) {
+        if (m_state.m_published.m_endpoints.count(endpoint) > 0)
+            m_endpointHeard[endpoint] = now;
+    }
+    m_vmHeard[{ session.m_hello->m_vm, session.m_hello->m_incarnation }] = now;
+}
+
+bool ControlService::hasSession(const VmProcess& process) const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [&process](const auto& entry) {
+        const auto& hello = entry.second.m_hello;
+        return hello && hello->m_vm == process.first && hello->m_incarnation == process.second;
+    });
+}
+
+void ControlService::considerAdmission(const Session& session, MonotonicTime now)
+{
+    const Hello& hello = *session.m_hello;
+    const auto& vms = m_state.m_published.m_vms;
+    const auto record = vms.find(hello.m_vm);
+    if (record != vms.end() && !record->second.m_departed) {
+        if (record->second.m_incarnation == hello.m_incarnation)
+            return;
+        // Of two processes under one name the admitted one stays while it is connected.
+        if (hasSession({ hello.m_vm, record->second.m_incarnation }))
+            return;
+    }
+    VmRecord vm;
+    vm.m_id = hello.m_vm;
+    vm.m_incarnation = hello.m_incarnation;
+    vm.m_dataCentre = hello.m_dataCentre;
+    vm.m_address = hello.m_address;
+    proposeOwn("admit " + hello.m_vm.value(), AdmitVm { std::move(vm) }, now);
+}
+
+// Every renewal is answered, so that the VM can tell a refused lease from a silent link.
+void ControlService::grant(LinkId link, const Session& session, const Renew& renew, MonotonicTime now)
+{
+    Grant answer { renew.m_sequence, Milliseconds(0), false, m_state.m_logTime };
+    const auto end = leaseEnd(session, renew.m_appliedRevision, now);
+    if (end) {
+        const Hello& hello = *session.m_hello;
+        const Revision admittedIn = m_state.m_published.m_vms.at(hello.m_vm).m_admittedIn;
+        if (grantLease(m_leases, hello.m_vm, hello.m_incarnation, renew.m_appliedRevision, *end)) {
+            ++m_counters.m_grants;
+            m_wanted = std::max(m_wanted, admittedIn);
+            // Rounded down, so that the holder's lease never outlasts this VM's record of it.
+            answer.m_remaining = std::chrono::duration_cast<Milliseconds>(*end - now);
+            answer.m_admitted = isInForce(admittedIn, now);
+        } else {
+            ++m_counters.m_withheldBehind;
+        }
+    }
+    send(link, answer);
+}
+
+std::optional<MonotonicTime> ControlService::leaseEnd(const Session& session, Revision applied, MonotonicTime now)
+{
+    const Hello& hello = *session.m_hello;
+    const auto& vms = m_state.m_published.m_vms;
+    const auto record = vms.find(hello.m_vm);
+    if (record == vms.end() || record->second.m_departed || record->second.m_incarnation != hello.m_incarnation) {
+        ++m_counters.m_withheldNotAdmitted;
+        considerAdmission(session, now);
+        return std::nullopt;
+    }
+    if (applied < record->second.m_admittedIn) {
+        ++m_counters.m_withheldNotAdmitted;
+        return std::nullopt;
+    }
+    if (applied < m_lagFloor || applied > m_state.m_published.m_revision) {
+        ++m_counters.m_withheldBehind;
+        return std::nullopt;
+    }
+    const std::optional<MonotonicTime> round = m_ports.m_confirmedRoundStart();
+    if (!round || *round + leasePeriod <= now) {
+        ++m_counters.m_withheldNoRound;
+        return std::nullopt;
+    }
+    return *round + leasePeriod;
+}
+
+// --- Commands.
+
+std::optional<Reason> ControlService::checkCommand(const Session& session, const Command& command) const
+{
+    const CommandBody& body = command.m_body;
+    if (std::holds_alternative<AdmitVm>(body) || std::holds_alternative<DepartVm>(body)
+        || std::holds_alternative<RemoveVm>(body) || std::holds_alternative<AdvanceTime>(body))
+        return Reason { ResultCode::InvalidField, "only the leader proposes this command" };
+    const auto isOwn = [&session](const auto& claim) {
+        return session.m_hello && claim.m_vm == session.m_hello->m_vm
+            && claim.m_vmIncarnation == session.m_hello->m_incarnation;
+    };
+    const auto* open = std::get_if<OpenClaim>(&body);
+    const auto* settle = std::get_if<SettleClaim>(&body);
+    if ((open != nullptr && !isOwn(*open)) || (settle != nullptr && !isOwn(*settle)))
+        return Reason { ResultCode::InvalidField, "a VM may only open and settle its own claims" };
+    if (m_pending.size() >= maximumPendingCommands)
+        return Reason { ResultCode::Overloaded, "too many commands are waiting at the leader" };
+    return std::nullopt;
+}
+
+bool ControlService::handle(LinkId link, Session& session, const CommandRequest& request, MonotonicTime)
+{
+    ++m_counters.m_commands;
+    if (!isReady()) {
+        ++m_counters.m_commandsRefused;
+        sendNotLeader(link, request.m_sequence);
+        return true;
+    }
+    if (const auto refused = checkCommand(session, request.m_command)) {
+        ++m_counters.m_commandsRefused;
+        CommandResult result;
+        result.m_code = refused->m_code;
+        result.m_text = refused->m_text;
+        result.m_revision = m_state.m_published.m_revision;
+        result.m_version = m_state.m_published.m_configurationVersion;
+        send(link, CommandReply { request.m_sequence, result });
+        return true;
+    }
+    const std::uint64_t number = ++m_lastNumber;
+    m_pending[number] = PendingCommand { link, request.m_sequence };
+    if (!proposeCommand(request.m_command, number)) {
+        ++m_counters.m_commandsRefused;
+        m_pending.erase(number);
+        sendNotLeader(link, request.m_sequence);
+    }
+    return true;
+}
+
+bool ControlService::proposeCommand(Command command, std::uint64_t number)
+{
+    command.m_proposedAt = m_ports.m_wallClock();
+    return m_ports.m_propose(encodeProposedCommand(ProposedCommand { m_proposer, number, std::move(command) }));
+}
+
+void ControlService::proposeOwn(const std::string& key, CommandBody body, MonotonicTime now)
+{
+    const auto earlier = m_ownProposals.find(key);
+    if (earlier != m_ownProposals.end() && now < earlier->second.second + proposalRetry)
+        return;
+    const std::uint64_t number = ++m_lastNumber;
+    Command command;
+    command.m_body = std::move(body);
+    // Noted first, since a log with one member may apply the entry before the call returns.
+    m_ownProposals[key] = { number, now };
+    if (!proposeCommand(std::move(command), number))
+        m_ownProposals.erase(key);
+}
+
+bool ControlService::handle(LinkId link, Session&, const StatusRequest& request, MonotonicTime now)
+{
+    if (!isReady()) {
+        sendNotLeader(link, request.m_sequence);
+        return true;
+    }
+    const bool inForce = checkInForce(request.m_revision, now);
+    const HolderCount holders = countHolders(m_leases, request.m_revision, now);
+    send(link, StatusReply { request.m_sequence, holders.m_confirmed, holders.m_total, inForce });
+    return true;
+}
+
+bool ControlService::checkInForce(Revision revision, MonotonicTime now)
+{
+    if (!m_ready || revision > m_state.m_published.m_revision)
+        return false;
+    if (revision > m_leases.m_floor) {
+        m_wanted = std::max(m_wanted, revision);
+        raiseFloor(m_leases, m_wanted, now);
+    }
+    return isInForce(revision, now);
+}
+
+bool ControlService::isInForce(Revision revision, MonotonicTime now) const
+{
+    // Holders that an earlier leader served are unknown until their leases have ended.
+    return m_ready && m_leaderSince && now >= *m_leaderSince + leasePeriod && revision <= m_leases.m_floor;
+}
+
+// --- The replicated log.
+
+bool ControlService::onApplied(std::string_view entry, MonotonicTime now)
+{
+    const auto proposed = decodeProposedCommand(entry, m_reason);
+    if (!proposed)
+        return false;
+    const Revision before = m_state.m_published.m_revision;
+    const CommandResult result = apply(m_state, proposed->m_command, m_changes);
+    ++m_counters.m_applied;
+    m_lastApplied = now;
+    afterApply(m_changes, now);
+    if (m_state.m_published.m_revision != before) {
+        m_history.push(m_state.m_published, std::move(m_changes));
+        m_encodedDeltas.clear();
+    }
+    m_changes.clear();
+    if (proposed->m_proposer == m_proposer) {
+        refreshRole(now);
+        replyToPending(proposed->m_number, result);
+    }
+    return true;
+}
+
+void ControlService::afterApply(const std::vector<Change>& changes, MonotonicTime now)
+{
+    for (const Change& change : changes) {
+        if (const auto* endpoint = std::get_if<EndpointRecord>(&change))
+            m_endpointHeard[endpoint->m_id] = now;
+        else if (const auto* erased = std::get_if<ErasedEndpoint>(&change))
+            m_endpointHeard.erase(erased->m_endpoint);
+    }
+}
+
+void ControlService::replyToPending(std::uint64_t number, const CommandResult& result)
+{
+    for (auto own = m_ownProposals.begin(); own != m_ownProposals.end(); ++own) {
+        if (own->second.first == number) {
+            m_ownProposals.erase(own);
+            return;
+        }
+    }
+    const auto pending = m_pending.find(number);
+    if (pending == m_pending.end())
+        return;
+    const PendingCommand command = pending->second;
+    m_pending.erase(pending);
+    if (m_sessions.count(command.m_link) > 0)
+        send(command.m_link, CommandReply { command.m_sequence, result });
+}
+
+std::string ControlService::takeSnapshot() const { return encodeControlState(m_state); }
+
+bool ControlService::restoreSnapshot(std::string_view bytes)
+{
+    auto state = decodeControlState(bytes, m_reason);
+    if (!state)
+        return false;
+    m_state = std::move(*state);
+    m_history.reset(m_state.m_published);
+    m_encodedDeltas.clear();
+    m_encodedCopy.reset();
+    return true;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/control/controlservicetick.cpp
@@ -0,0 +1,159 @@
+#include "control/apply.h"
+#include "control/codec.h"
+#include "control/controlservice.h"
+#include "control/digest.h"
+
+#include <algorithm>
+
+namespace flamingo {
+
+namespace {
+
+// A loop that stood still this long was frozen; messages that prove renewals may still be unread.
+constexpr Milliseconds stallThreshold { 1000 };
+constexpr Milliseconds expiryScanPeriod { 500 };
+constexpr Milliseconds forgetVmAfter { 60000 };
+
+} // namespace
+
+void ControlService::tick(MonotonicTime now)
+{
+    refreshRole(now);
+    if (!m_ready)
+        return;
+    if (now - m_lastTick > stallThreshold)
+        m_graceFrom = now;
+    m_lastTick = now;
+    noteLag(now);
+    raiseFloor(m_leases, m_wanted, now);
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + expiryScanPeriod;
+        departVms(now);
+        removeVms(now);
+        expireEndpoints(now);
+    }
+    if (now - m_lastApplied >= advanceTimePeriod)
+        proposeOwn("advance time", AdvanceTime {}, now);
+    m_fullCopiesThisTick = 0;
+    for (auto& [link, session] : m_sessions)
+        pushState(link, session);
+}
+
+// --- State for entry VMs.
+
+void ControlService::pushState(LinkId link, Session& session)
+{
+    const Revision current = m_state.m_published.m_revision;
+    // At most one delta is under way on a link, so that a slow VM is sent one merged delta later.
+    if (!session.m_hello || session.m_inFlight)
+        return;
+    if (session.m_base == current && session.m_baseDigest == publishedDigest(m_state.m_published))
+        return;
+    if (const std::string* delta = encodedDelta(session.m_base, session.m_baseDigest)) {
+        ++m_counters.m_deltas;
+        sendEncoded(link, *delta);
+    } else {
+        if (m_fullCopiesThisTick >= maximumFullCopiesPerTick)
+            return;
+        ++m_fullCopiesThisTick;
+        sendFullCopy(link);
+    }
+    session.m_inFlight = current;
+}
+
+// Most VMs have the same base, so that one delta is built and encoded for all of them.
+const std::string* ControlService::encodedDelta(Revision base, std::uint64_t baseDigest)
+{
+    if (m_history.digestAt(base) != baseDigest)
+        return nullptr;
+    std::string& bytes = m_encodedDeltas[base];
+    if (bytes.empty())
+        bytes = encodeMessage(*m_history.deltaFrom(base, baseDigest));
+    return &bytes;
+}
+
+void ControlService::sendFullCopy(LinkId link)
+{
+    ++m_counters.m_fullCopies;
+    const Revision current = m_state.m_published.m_revision;
+    if (!m_encodedCopy || m_encodedCopy->first != current)
+        m_encodedCopy.emplace(
+            current, encodeMessage(FullCopy { m_state.m_published, publishedDigest(m_state.m_published) }));
+    sendEncoded(link, m_encodedCopy->second);
+}
+
+void ControlService::sendEncoded(LinkId link, const std::string& bytes)
+{
+    m_counters.m_stateBytesSent += bytes.size();
+    m_ports.m_send(link, bytes);
+}
+
+// --- Expiry.
+
+void ControlService::noteLag(MonotonicTime now)
+{
+    const Revision current = m_state.m_published.m_revision;
+    if (m_lagSamples.empty() || m_lagSamples.rbegin()->second != current)
+        m_lagSamples.emplace(now, current);
+    while (!m_lagSamples.empty() && m_lagSamples.begin()->first + maximumLag <= now) {
+        m_lagFloor = std::max(m_lagFloor, m_lagSamples.begin()->second);
+        m_lagSamples.erase(m_lagSamples.begin());
+    }
+}
+
+void ControlService::expireEndpoints(MonotonicTime now)
+{
+    // Without renewals from any VM the leader itself is cut off; silence then says nothing.
+    const bool hearsVms = std::any_of(
+        m_vmHeard.begin(), m_vmHeard.end(), [now](const auto& entry) { return now - entry.second <= leasePeriod; });
+    if (!hearsVms)
+        m_graceFrom = now;
+    RemoveEndpoints removal;
+    bool batchIsDue = false;
+    for (const auto& [id, endpoint] : m_state.m_published.m_endpoints) {
+        const auto heard = m_endpointHeard.find(id);
+        const MonotonicTime last = heard != m_endpointHeard.end() ? std::max(heard->second, m_graceFrom) : m_graceFrom;
+        if (now - last < endpointTtl)
+            continue;
+        removal.m_targets.push_back({ id, endpoint.m_incarnation, true });
+        batchIsDue = batchIsDue || now - last >= endpointTtl + removalBatchDelay;
+    }
+    if (!batchIsDue)
+        return;
+    m_counters.m_endpointsExpired += removal.m_targets.size();
+    proposeOwn("remove endpoints", std::move(removal), now);
+}
+
+void ControlService::departVms(MonotonicTime now)
+{
+    std::vector<DepartVm> departures;
+    for (const auto& [id, vm] : m_state.m_published.m_vms) {
+        if (vm.m_departed || holdsLease(m_leases, id, vm.m_incarnation, now))
+            continue;
+        const auto heard = m_vmHeard.find({ id, vm.m_incarnation });
+        const MonotonicTime last = heard != m_vmHeard.end() ? std::max(heard->second, m_graceFrom) : m_graceFrom;
+        if (now - last < leasePeriod + departureGrace)
+            continue;
+        departures.push_back({ id, vm.m_incarnation });
+    }
+    for (const DepartVm& departure : departures) {
+        ++m_counters.m_vmsDeparted;
+        proposeOwn("depart " + departure.m_vm.value(), departure, now);
+    }
+    for (auto heard = m_vmHeard.begin(); heard != m_vmHeard.end();)
+        heard = now - heard->second > forgetVmAfter ? m_vmHeard.erase(heard) : std::next(heard);
+}
+
+void ControlService::removeVms(MonotonicTime now)
+{
+    const LogTime wall = std::max(m_ports.m_wallClock(), m_state.m_logTime);
+    std::vector<RemoveVm> removals;
+    for (const auto& [id, vm] : m_state.m_published.m_vms) {
+        if (vm.m_departed && wall.value() - vm.m_departedAt.value() >= Milliseconds(departedVmRetention).count())
+            removals.push_back({ id, vm.m_incarnation });
+    }
+    for (const RemoveVm& removal : removals)
+        proposeOwn("remove " + removal.m_vm.value(), removal, now);
+}
+
+} // namespace flamingo
--- a/src/libflamingo/control/messages.h
+++ b/src/libflamingo/control/messages.h
@@ -68,7 +68,7 @@
 };
 struct Grant {
     std::uint64_t m_sequence = 0; // of the Renew that it answers
-    Milliseconds m_remaining { 0 }; // counted from the moment the Renew was sent
+    Milliseconds m_remaining { 0 }; // counted from the moment the Renew was sent; 0 when no lease is granted
     bool m_admitted = false; // the VM's admission is in force, so that it may serve and connect
     LogTime m_logTime;
 };
--- a/src/libflamingo/control/logentry.h
+++ b/src/libflamingo/control/proposedcommand.h
@@ -6,8 +6,8 @@
 
 namespace flamingo {
 
-/** One entry of the replicated log. */
-struct LogEntry {
+/** Content of one entry of the replicated log. */
+struct ProposedCommand {
     std::uint64_t m_proposer = 0; // random number of the process that proposed it
     std::uint64_t m_number = 0; // pairs the entry with the request that it came from
     Command m_command;
--- a/src/libflamingo/control/recordfields.h
+++ b/src/libflamingo/control/recordfields.h
@@ -2,8 +2,8 @@
 
 #include "control/claimrecord.h"
 #include "control/controlstate.h"
-#include "control/logentry.h"
 #include "control/messages.h"
+#include "control/proposedcommand.h"
 
 #include <tuple>
 #include <type_traits>
@@ -282,8 +282,8 @@
     }
 };
 
-template <> struct Fields<LogEntry> {
-    static constexpr const char* name = "LogEntry";
+template <> struct Fields<ProposedCommand> {
+    static constexpr const char* name = "ProposedCommand";
     template <typename S> static auto tie(S& s) { return std::tie(s.m_proposer, s.m_number, s.m_command); }
 };
 
--- /dev/null
+++ b/src/libflamingo/control/statecopy.cpp
@@ -0,0 +1,68 @@
+#include "control/statecopy.h"
+
+#include "control/applychange.h"
+#include "control/digest.h"
+
+#include <atomic>
+
+namespace flamingo {
+
+namespace {
+
+// Beyond this many the readers of the spare are slow, and a fresh copy is cheaper than the backlog.
+constexpr std::size_t maximumMissing = 64;
+
+} // namespace
+
+StateCopy::StateCopy()
+    : m_current(std::make_shared<PublishedState>())
+{
+}
+
+StateUpdate StateCopy::take(FullCopy copy)
+{
+    if (copy.m_state.m_revision < m_current->m_revision)
+        return StateUpdate::Stale;
+    if (publishedDigest(copy.m_state) != copy.m_digest)
+        return StateUpdate::Mismatch;
+    m_digest = copy.m_digest;
+    m_current = std::make_shared<PublishedState>(std::move(copy.m_state));
+    m_spare.reset();
+    m_missing.clear();
+    return StateUpdate::Applied;
+}
+
+std::shared_ptr<PublishedState> StateCopy::takeSpare()
+{
+    if (m_spare && m_spare.use_count() == 1 && m_missing.size() <= maximumMissing) {
+        // Orders the last reader's accesses before the changes below.
+        std::atomic_thread_fence(std::memory_order_acquire);
+        for (const Delta& delta : m_missing)
+            applyDelta(*m_spare, delta);
+        m_missing.clear();
+        return std::move(m_spare);
+    }
+    m_missing.clear();
+    return std::make_shared<PublishedState>(*m_current);
+}
+
+StateUpdate StateCopy::take(Delta delta)
+{
+    if (delta.m_to <= m_current->m_revision)
+        return StateUpdate::Stale;
+    if (delta.m_from != m_current->m_revision)
+        return StateUpdate::Mismatch;
+    std::shared_ptr<PublishedState> next = takeSpare();
+    m_spare.reset();
+    if (!applyDelta(*next, delta))
+        return StateUpdate::Mismatch;
+    // The state that was current becomes the spare; readers may still hold it. All states are created
+    // non-const, so that the cast is sound.
+    m_spare = std::const_pointer_cast<PublishedState>(m_current);
+    m_digest = delta.m_digest;
+    m_current = std::move(next);
+    m_missing.push_back(std::move(delta));
+    return StateUpdate::Applied;
+}
+
+} // namespace flamingo
--- a/src/libflamingo/control/tests/codectest.cpp
+++ b/src/libflamingo/control/tests/codectest.cpp
@@ -131,12 +131,12 @@
         RC_ASSERT(decoded.has_value() || reason.m_code != ResultCode::Ok);
     });
     rc::prop("guards against a command losing a field on its way to the log", []() {
-        const LogEntry entry { *rc::gen::arbitrary<std::uint64_t>(), 4, *anyCommand() };
-        const std::string bytes = encodeLogEntry(entry);
+        const ProposedCommand entry { *rc::gen::arbitrary<std::uint64_t>(), 4, *anyCommand() };
+        const std::string bytes = encodeProposedCommand(entry);
         Reason reason;
-        const auto decoded = decodeLogEntry(bytes, reason);
+        const auto decoded = decodeProposedCommand(bytes, reason);
         RC_ASSERT(decoded.has_value());
-        RC_ASSERT(encodeLogEntry(*decoded) == bytes);
+        RC_ASSERT(encodeProposedCommand(*decoded) == bytes);
         RC_ASSERT(commandHash(decoded->m_command) == commandHash(entry.m_command));
     });
 }
--- /dev/null
+++ b/src/libflamingo/control/tests/inforcetest.cpp
@@ -0,0 +1,112 @@
+#include "control/tests/controlfixture.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace flamingo;
+
+namespace {
+
+/** Remembers the greatest revision that any control VM ever called in force. */
+struct InForceObserver {
+    Revision m_greatest;
+
+    void look(const ControlFixture& fixture)
+    {
+        for (const auto& control : fixture.m_controls) {
+            const Revision current = control.m_service->state().m_published.m_revision;
+            for (std::uint64_t revision = current.value(); revision > m_greatest.value(); --revision) {
+                if (control.m_service->checkInForce(Revision(revision), fixture.m_now))
+                    m_greatest = Revision(revision);
+            }
+        }
+    }
+    /** Returns whether every VM that may serve has the state that was called in force. */
+    bool holds(ControlFixture& fixture) const
+    {
+        for (std::size_t index = 0; index < fixture.m_entries.size(); ++index) {
+            if (fixture.serves(index) && fixture.m_entries[index].m_shown < m_greatest)
+                return false;
+        }
+        return true;
+    }
+};
+
+void changeSomething(ControlFixture& fixture)
+{
+    static int number = 0;
+    const std::string name = std::to_string(++number);
+    fixture.commit(CreateService { ServiceName("service" + name), {} }, "create" + name);
+}
+
+} // namespace
+
+TEST_CASE("In force under random schedules")
+{
+    rc::prop("guards against a VM that serves an older state than one that was reported in force", []() {
+        const auto controls = *rc::gen::inRange<std::size_t>(1, 4);
+        ControlFixture fixture(controls, *rc::gen::inRange<std::size_t>(1, 4), *rc::gen::arbitrary<std::uint32_t>());
+        for (auto& entry : fixture.m_entries)
+            entry.m_rate = 1.0 + *rc::gen::inRange(-4, 5) / 1000.0;
+        InForceObserver observer;
+        const int steps = *rc::gen::inRange(0, 40);
+        for (int step = 0; step < steps; ++step) {
+            auto& entry = fixture.m_entries[*rc::gen::inRange<std::size_t>(0, fixture.m_entries.size())];
+            const auto control = *rc::gen::inRange<std::size_t>(0, controls);
+            switch (*rc::gen::inRange(0, 8)) {
+            case 0:
+                entry.m_frozen = !entry.m_frozen;
+                break;
+            case 1:
+                entry.m_cutOff = !entry.m_cutOff;
+                break;
+            case 2:
+                fixture.m_controls[fixture.m_leader].m_cutOff = controls > 1;
+                break;
+            case 3:
+                if (control != fixture.m_leader)
+                    fixture.elect(control);
+                break;
+            case 4:
+                if (control != fixture.m_leader) {
+                    fixture.m_controls[control].m_cutOff = false;
+                    fixture.depose(control);
+                }
+                break;
+            case 5:
+                fixture.m_maximumDelay = Milliseconds(*rc::gen::inRange(0, 400));
+                break;
+            default:
+                if (!fixture.m_controls[fixture.m_leader].m_cutOff)
+                    changeSomething(fixture);
+            }
+            for (int part = *rc::gen::inRange(1, 40); part > 0; --part) {
+                fixture.run(Milliseconds(50), Milliseconds(50));
+                observer.look(fixture);
+                RC_ASSERT(observer.holds(fixture));
+            }
+        }
+        // Once everything works again, each change comes into force and each VM serves it.
+        for (auto& entry : fixture.m_entries) {
+            entry.m_frozen = false;
+            entry.m_cutOff = false;
+        }
+        fixture.m_maximumDelay = Milliseconds(5);
+        fixture.elect(fixture.m_leader);
+        for (std::size_t index = 0; index < controls; ++index) {
+            fixture.m_controls[index].m_cutOff = false;
+            if (index != fixture.m_leader)
+                fixture.depose(index);
+        }
+        changeSomething(fixture);
+        const Revision last = fixture.leader().state().m_published.m_revision;
+        fixture.run(Milliseconds(15000), Milliseconds(50));
+        RC_ASSERT(fixture.leader().checkInForce(last, fixture.m_now));
+        for (std::size_t index = 0; index < fixture.m_entries.size(); ++index) {
+            RC_ASSERT(fixture.serves(index));
+            RC_ASSERT(fixture.m_entries[index].m_shown >= last);
+            RC_ASSERT(fixture.m_entries[index].m_client->state()->m_recordSum
+                == fixture.leader().state().m_published.m_recordSum);
+        }
+    });
+}
--- /dev/null
+++ b/src/libflamingo/control/tests/servicetest.cpp
@@ -0,0 +1,330 @@
+#include "control/codec.h"
+#include "control/controlservice.h"
+#include "control/tests/commandmaker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+
+namespace {
+
+/** One control VM whose role, rounds and log the test sets directly. */
+struct ServiceFixture {
+    MonotonicTime m_now { std::chrono::hours(1) };
+    std::optional<MonotonicTime> m_leaderSince = m_now;
+    bool m_roundsConfirmed = true;
+    bool m_applyAtOnce = true;
+    std::vector<std::string> m_log;
+    std::vector<std::pair<LinkId, ControlMessage>> m_sent;
+    std::unique_ptr<ControlService> m_service;
+
+    ServiceFixture()
+    {
+        ControlServicePorts ports;
+        ports.m_propose = [this](const std::string& bytes) {
+            m_log.push_back(bytes);
+            if (m_applyAtOnce)
+                m_service->onApplied(bytes, m_now);
+            return true;
+        };
+        ports.m_readyToServe = [this]() { return m_leaderSince.has_value(); };
+        ports.m_confirmedRoundStart = [this]() { return m_roundsConfirmed ? std::optional(m_now) : std::nullopt; };
+        ports.m_leaderSince = [this]() { return m_leaderSince; };
+        ports.m_leaderAddress = []() { return std::string("127.0.0.1:7001"); };
+        ports.m_send = [this](LinkId link, const std::string& bytes) {
+            Reason reason;
+            m_sent.emplace_back(link, *decodeMessage(bytes, reason));
+        };
+        ports.m_wallClock = [this]() {
+            return LogTime(
+                startSeconds * 1000 + std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch()).count());
+        };
+        m_service = std::make_unique<ControlService>(ports, 1);
+    }
+    Revision revision() const { return m_service->state().m_published.m_revision; }
+    const PublishedState& published() const { return m_service->state().m_published; }
+    void run(Milliseconds time, Milliseconds step = Milliseconds(100))
+    {
+        for (const MonotonicTime end = m_now + time; m_now < end;) {
+            m_now += step;
+            m_service->tick(m_now);
+        }
+    }
+    void open(std::uint64_t link, const std::string& vm)
+    {
+        m_service->onLinkOpened(LinkId(link));
+        message(link, Hello { VmId(vm), Incarnation(1), {}, {}, Revision(), 0 });
+    }
+    bool message(std::uint64_t link, const ControlMessage& message)
+    {
+        return m_service->onMessage(LinkId(link), encodeMessage(message), m_now);
+    }
+    Grant renew(std::uint64_t link, Revision applied, std::vector<EndpointId> endpoints = {})
+    {
+        message(link, Renew { 1, applied, std::move(endpoints), false });
+        return last<Grant>();
+    }
+    template <typename T> T last() const
+    {
+        for (auto sent = m_sent.rbegin(); sent != m_sent.rend(); ++sent) {
+            if (const T* message = std::get_if<T>(&sent->second))
+                return *message;
+        }
+        FAIL("no such message was sent");
+        return {};
+    }
+    template <typename T> std::size_t count() const
+    {
+        std::size_t number = 0;
+        for (const auto& [link, message] : m_sent)
+            number += std::holds_alternative<T>(message) ? 1 : 0;
+        return number;
+    }
+    CommandResult command(std::uint64_t link, CommandBody body, const std::string& id = {})
+    {
+        message(link, CommandRequest { 5, { CommandId(id), {}, {}, std::move(body) } });
+        return last<CommandReply>().m_result;
+    }
+    StatusReply status(Revision asked)
+    {
+        message(1, StatusRequest { 6, asked });
+        return last<StatusReply>();
+    }
+};
+
+} // namespace
+
+TEST_CASE("The leader grants leases")
+{
+    ServiceFixture fixture;
+    fixture.open(1, "vm1");
+    fixture.open(2, "vm2");
+    REQUIRE(fixture.revision() == Revision(2));
+
+    SECTION("guards against a VM serving before it has applied its own admission")
+    {
+        REQUIRE(fixture.renew(1, Revision(0)).m_remaining == Milliseconds(0));
+        REQUIRE(fixture.renew(1, Revision(1)).m_remaining == leasePeriod);
+        REQUIRE_FALSE(fixture.renew(1, Revision(2)).m_admitted);
+        fixture.run(leasePeriod);
+        REQUIRE(fixture.renew(1, Revision(2)).m_admitted);
+    }
+    SECTION("guards against a lease without a confirmed round")
+    {
+        fixture.m_roundsConfirmed = false;
+        REQUIRE(fixture.renew(1, Revision(2)).m_remaining == Milliseconds(0));
+    }
+    SECTION("a change is in force once all holders confirmed it or lost their leases")
+    {
+        fixture.run(leasePeriod);
+        fixture.renew(1, Revision(2));
+        fixture.renew(2, Revision(2));
+        const Revision change = fixture.command(1, CreateService { ServiceName("verse"), {} }, "c1").m_revision;
+        StatusReply status = fixture.status(change);
+        REQUIRE(status.m_holdersTotal == 2);
+        REQUIRE(status.m_holdersConfirmed == 0);
+        fixture.renew(1, change);
+        status = fixture.status(change);
+        REQUIRE(status.m_holdersConfirmed == 1);
+        REQUIRE_FALSE(status.m_inForce);
+
+        SECTION("by confirmation")
+        {
+            fixture.renew(2, change);
+            REQUIRE(fixture.status(change).m_inForce);
+        }
+        SECTION("by the end of the lease; then the VM gets none until it has applied the change")
+        {
+            fixture.run(leasePeriod - Milliseconds(100));
+            REQUIRE_FALSE(fixture.status(change).m_inForce);
+            fixture.run(Milliseconds(100));
+            REQUIRE(fixture.status(change).m_inForce);
+            INFO("guards against an older state being served after the change was reported in force");
+            REQUIRE(fixture.renew(2, Revision(2)).m_remaining == Milliseconds(0));
+            REQUIRE(fixture.renew(2, change).m_remaining == leasePeriod);
+        }
+        SECTION("guards against a new leader forgetting what was in force, and who holds leases")
+        {
+            fixture.renew(2, change);
+            REQUIRE(fixture.status(change).m_inForce);
+            fixture.m_leaderSince = fixture.m_now;
+            REQUIRE(fixture.renew(2, Revision(2)).m_remaining == Milliseconds(0));
+            fixture.renew(1, change);
+            REQUIRE_FALSE(fixture.status(change).m_inForce);
+            fixture.run(leasePeriod - Milliseconds(100));
+            REQUIRE_FALSE(fixture.status(change).m_inForce);
+            fixture.run(Milliseconds(100));
+            REQUIRE(fixture.status(change).m_inForce);
+        }
+        SECTION("guards against a revision from the future being called in force")
+        {
+            REQUIRE_FALSE(fixture.status(Revision(1000)).m_inForce);
+        }
+    }
+    SECTION("guards against two processes under one name replacing each other in turn")
+    {
+        fixture.m_service->onLinkOpened(LinkId(3));
+        fixture.message(3, Hello { VmId("vm1"), Incarnation(2), {}, {}, Revision(), 0 });
+        REQUIRE(fixture.published().m_vms.at(VmId("vm1")).m_incarnation == Incarnation(1));
+        fixture.m_service->onLinkClosed(LinkId(1));
+        REQUIRE(fixture.renew(3, Revision(2)).m_remaining == Milliseconds(0));
+        REQUIRE(fixture.published().m_vms.at(VmId("vm1")).m_incarnation == Incarnation(2));
+    }
+}
+
+TEST_CASE("The leader pushes the state")
+{
+    ServiceFixture fixture;
+    fixture.open(1, "vm1");
+    REQUIRE(fixture.count<FullCopy>() == 1);
+    const auto change = [&fixture](const std::string& name) {
+        return fixture.command(1, CreateService { ServiceName(name), {} }, name).m_revision;
+    };
+    fixture.renew(1, Revision(1));
+    change("a");
+    change("b");
+    fixture.run(Milliseconds(100));
+    REQUIRE(fixture.count<Delta>() == 1);
+    REQUIRE(fixture.last<Delta>().m_changes.size() == 2);
+
+    SECTION("guards against deltas piling up on a slow link")
+    {
+        change("c");
+        fixture.run(Milliseconds(2000));
+        REQUIRE(fixture.count<Delta>() == 1);
+        fixture.renew(1, Revision(3));
+        fixture.run(Milliseconds(100));
+        REQUIRE(fixture.count<Delta>() == 2);
+        REQUIRE(fixture.last<Delta>().m_from == Revision(3));
+    }
+    SECTION("a VM that lost its state gets a full copy")
+    {
+        fixture.message(1, Hello { VmId("vm1"), Incarnation(1), {}, {}, Revision(), 0 });
+        fixture.run(Milliseconds(100));
+        REQUIRE(fixture.count<FullCopy>() == 2);
+    }
+    SECTION("guards against all VMs that start together being sent full copies at once")
+    {
+        for (std::uint64_t link = 10; link < 30; ++link)
+            fixture.open(link, "vm" + std::to_string(link));
+        const std::size_t before = fixture.count<FullCopy>();
+        fixture.run(Milliseconds(100));
+        REQUIRE(fixture.count<FullCopy>() <= before + ControlService::maximumFullCopiesPerTick);
+        fixture.run(Milliseconds(1000));
+        REQUIRE(fixture.count<FullCopy>() == 21);
+    }
+}
+
+TEST_CASE("The leader answers commands")
+{
+    ServiceFixture fixture;
+    fixture.open(1, "vm1");
+
+    SECTION("guards against an answer by a VM that no longer leads")
+    {
+        fixture.m_applyAtOnce = false;
+        fixture.message(
+            1, CommandRequest { 5, { CommandId("c1"), {}, {}, CreateService { ServiceName("verse"), {} } } });
+        const std::string entry = fixture.m_log.back();
+        fixture.m_leaderSince.reset();
+        fixture.m_service->onRoleChanged(fixture.m_now);
+        REQUIRE(fixture.last<NotLeader>().m_leaderAddress == "127.0.0.1:7001");
+        REQUIRE(fixture.m_service->onApplied(entry, fixture.m_now));
+        REQUIRE(fixture.count<CommandReply>() == 0);
+        REQUIRE(fixture.published().m_services.size() == 1);
+        fixture.message(
+            1, CommandRequest { 6, { CommandId("c1"), {}, {}, CreateService { ServiceName("verse"), {} } } });
+        REQUIRE(fixture.last<NotLeader>().m_sequence == 6);
+    }
+    SECTION("guards against a VM acting for another one or for the leader")
+    {
+        REQUIRE(fixture.command(1, openClaim("a", "vm2", 1)).m_code == ResultCode::InvalidField);
+        REQUIRE(fixture.command(1, DepartVm { VmId("vm1"), Incarnation(1) }).m_code == ResultCode::InvalidField);
+        REQUIRE(fixture.published().m_vms.size() == 1);
+    }
+    SECTION("guards against waiting commands growing without bound")
+    {
+        fixture.m_applyAtOnce = false;
+        for (std::size_t index = 0; index < ControlService::maximumPendingCommands; ++index)
+            fixture.message(1, CommandRequest { 5, { {}, {}, {}, ClearSuspect { Fingerprint(1) } } });
+        REQUIRE(fixture.command(1, ClearSuspect { Fingerprint(1) }).m_code == ResultCode::Overloaded);
+    }
+    SECTION("bad messages close the link and change nothing")
+    {
+        REQUIRE_FALSE(fixture.m_service->onMessage(LinkId(1), "nonsense", fixture.m_now));
+        REQUIRE(fixture.m_service->lastReason().m_code == ResultCode::MalformedBody);
+        REQUIRE_FALSE(fixture.message(1, StatusReply {}));
+        REQUIRE_FALSE(fixture.m_service->onApplied("nonsense", fixture.m_now));
+        REQUIRE_FALSE(fixture.m_service->restoreSnapshot("nonsense"));
+        REQUIRE(fixture.published().m_vms.size() == 1);
+    }
+    SECTION("log time advances on an idle system")
+    {
+        const LogTime before = fixture.m_service->state().m_logTime;
+        fixture.run(Milliseconds(61000));
+        REQUIRE(fixture.m_service->state().m_logTime > before);
+    }
+    SECTION("a snapshot carries everything to another VM")
+    {
+        fixture.command(1, CreateService { ServiceName("verse"), {} }, "c1");
+        ServiceFixture other;
+        REQUIRE(other.m_service->restoreSnapshot(fixture.m_service->takeSnapshot()));
+        REQUIRE(other.m_service->takeSnapshot() == fixture.m_service->takeSnapshot());
+    }
+}
+
+TEST_CASE("The leader removes silent endpoints")
+{
+    ServiceFixture fixture;
+    fixture.open(1, "vm1");
+    fixture.command(1, CreateService { ServiceName("verse"), {} }, "c1");
+    for (const char* id : { "e1", "e2", "e3" })
+        REQUIRE(fixture.command(1, registration(id, "verse", 1, 0)).m_code == ResultCode::Ok);
+    const auto renewing = [&fixture](Milliseconds time, const std::vector<EndpointId>& endpoints) {
+        for (Milliseconds part { 0 }; part < time; part += Milliseconds(500)) {
+            fixture.renew(1, fixture.revision(), endpoints);
+            fixture.run(Milliseconds(500));
+        }
+    };
+    SECTION("guards against a renewed endpoint being removed, and a lost data centre being many commands")
+    {
+        renewing(Milliseconds(1000), { EndpointId("e1"), EndpointId("e2") });
+        renewing(Milliseconds(10500), { EndpointId("e1") });
+        REQUIRE(fixture.published().m_endpoints.size() == 3);
+        const Revision before = fixture.revision();
+        renewing(Milliseconds(2500), { EndpointId("e1") });
+        REQUIRE(fixture.published().m_endpoints.size() == 1);
+        REQUIRE(fixture.revision() == Revision(before.value() + 1));
+    }
+    SECTION("guards against all endpoints being removed after the leader itself was frozen")
+    {
+        renewing(Milliseconds(2000), { EndpointId("e1"), EndpointId("e2"), EndpointId("e3") });
+        fixture.m_now += std::chrono::minutes(1);
+        fixture.run(Milliseconds(1000));
+        REQUIRE(fixture.published().m_endpoints.size() == 3);
+    }
+    SECTION("guards against all endpoints being removed while no VM reaches the leader")
+    {
+        fixture.run(Milliseconds(30000));
+        REQUIRE(fixture.published().m_endpoints.size() == 3);
+    }
+    SECTION("a new leader gives each endpoint a fresh time")
+    {
+        renewing(Milliseconds(9000), {});
+        fixture.m_leaderSince = fixture.m_now;
+        renewing(Milliseconds(9500), {});
+        REQUIRE(fixture.published().m_endpoints.size() == 3);
+        renewing(Milliseconds(3500), {});
+        REQUIRE(fixture.published().m_endpoints.empty());
+    }
+    SECTION("guards against an endpoint that leaves being offered to new work after a few seconds")
+    {
+        fixture.run(leasePeriod);
+        fixture.renew(1, fixture.revision());
+        const CommandResult left
+            = fixture.command(1, RemoveEndpoints { { { EndpointId("e1"), Incarnation(1), false } } });
+        REQUIRE_FALSE(fixture.status(left.m_revision).m_inForce);
+        fixture.run(leasePeriod);
+        REQUIRE(fixture.status(left.m_revision).m_inForce);
+    }
+}
