--- /dev/null
+++ b/src/libflamingo/link/linkpath.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace flamingo {
+
+// Request paths of the opening handshake; each stands for one protocol.
+constexpr char peerLinkPath[] = "/peer"; // between members of the control group
+constexpr char entryLinkPath[] = "/entry"; // from entry VMs to control
+
+} // namespace flamingo
