--- a/src/libflamingo/consensus/consensusjoin.cpp
+++ b/src/libflamingo/consensus/consensusjoin.cpp
@@ -29,7 +29,7 @@
     message.m_to = to;
     message.m_term = m_raft.m_term;
     message.m_body = std::move(body);
-    m_callbacks.m_send(address, encodeMessage(message));
+    m_callbacks.m_send(address, encodeRaftMessage(message));
 }
 
 void ConsensusMember::runBootstrap(MonotonicTime now)
--- a/src/libflamingo/consensus/consensusmember.cpp
+++ b/src/libflamingo/consensus/consensusmember.cpp
@@ -172,7 +172,7 @@
         message.m_fromAddress = m_settings.m_address;
         const std::string address = addressOf(message.m_to);
         if (!address.empty())
-            m_callbacks.m_send(address, encodeMessage(message));
+            m_callbacks.m_send(address, encodeRaftMessage(message));
     }
 }
 
@@ -241,7 +241,7 @@
     if (m_failed)
         return false;
     flush(now);
-    const auto message = decodeMessage(frame, m_reason);
+    const auto message = decodeRaftMessage(frame, m_reason);
     if (!message)
         return false;
     const bool handled = dispatch(*message, now);
--- a/src/libflamingo/consensus/raftcodec.cpp
+++ b/src/libflamingo/consensus/raftcodec.cpp
@@ -379,7 +379,7 @@
 
 } // namespace
 
-std::string encodeMessage(const RaftMessage& message)
+std::string encodeRaftMessage(const RaftMessage& message)
 {
     json out = { { "v", kRaftProtocolVersion }, { "t", "raft" }, { "from", message.m_from.value() },
         { "at", message.m_fromAddress }, { "to", message.m_to.value() }, { "term", message.m_term.value() } };
@@ -392,7 +392,7 @@
     return toBytes(out);
 }
 
-std::optional<RaftMessage> decodeMessage(std::string_view frame, Reason& reason)
+std::optional<RaftMessage> decodeRaftMessage(std::string_view frame, Reason& reason)
 {
     if (frame.size() > kMaxFrameBytes)
         return refuse(reason, ResultCode::BodyTooLarge,
--- a/src/libflamingo/consensus/raftcodec.h
+++ b/src/libflamingo/consensus/raftcodec.h
@@ -18,10 +18,10 @@
 constexpr std::uint64_t kRaftProtocolVersion = 1;
 
 /** Returns the message as one CBOR map {"v": protocol version, "t": "raft", ...}. Thread-safe. */
-std::string encodeMessage(const RaftMessage& message);
+std::string encodeRaftMessage(const RaftMessage& message);
 
 /** Returns the message in the frame, or nothing and a reason if the frame is not valid. Thread-safe. */
-std::optional<RaftMessage> decodeMessage(std::string_view frame, Reason& reason);
+std::optional<RaftMessage> decodeRaftMessage(std::string_view frame, Reason& reason);
 
 // Parts that are stored in files.
 std::string encodeConfiguration(const Configuration& configuration);
--- a/src/libflamingo/consensus/tests/codectest.cpp
+++ b/src/libflamingo/consensus/tests/codectest.cpp
@@ -34,46 +34,46 @@
 {
     Reason reason;
     for (std::size_t kind = 0; kind < std::variant_size_v<RaftBody>; ++kind) {
-        const std::string frame = encodeMessage(sample(kind));
-        const auto decoded = decodeMessage(frame, reason);
+        const std::string frame = encodeRaftMessage(sample(kind));
+        const auto decoded = decodeRaftMessage(frame, reason);
         REQUIRE(decoded);
         REQUIRE(decoded->m_body.index() == kind);
-        REQUIRE(encodeMessage(*decoded) == frame);
+        REQUIRE(encodeRaftMessage(*decoded) == frame);
 
         SECTION("cut off at any byte, kind " + std::to_string(kind))
         {
             for (std::size_t size = 0; size < frame.size(); ++size)
-                REQUIRE_FALSE(decodeMessage(frame.substr(0, size), reason));
+                REQUIRE_FALSE(decodeRaftMessage(frame.substr(0, size), reason));
             REQUIRE(reason.m_code == ResultCode::MalformedBody);
         }
     }
     SECTION("deep nesting is refused before it is parsed")
     {
-        REQUIRE_FALSE(decodeMessage(std::string(4U << 20U, '\x81'), reason));
+        REQUIRE_FALSE(decodeRaftMessage(std::string(4U << 20U, '\x81'), reason));
         REQUIRE_FALSE(isBoundedCbor(std::string(20, '\x81') + '\0', 16, 100));
         REQUIRE(isBoundedCbor(std::string(10, '\x81') + '\0', 16, 100));
     }
     SECTION("a frame beyond the limit is refused")
     {
-        REQUIRE_FALSE(decodeMessage(std::string(kMaxFrameBytes + 1, '\0'), reason));
+        REQUIRE_FALSE(decodeRaftMessage(std::string(kMaxFrameBytes + 1, '\0'), reason));
         REQUIRE(reason.m_code == ResultCode::BodyTooLarge);
     }
     SECTION("another version is refused")
     {
-        std::string frame = encodeMessage(sample(0));
+        std::string frame = encodeRaftMessage(sample(0));
         const auto version = frame.find(std::string("av\x01"));
         REQUIRE(version != std::string::npos);
         frame[version + 2] = 2;
-        REQUIRE_FALSE(decodeMessage(frame, reason));
+        REQUIRE_FALSE(decodeRaftMessage(frame, reason));
         REQUIRE(reason.m_code == ResultCode::UnsupportedProtocol);
     }
     rc::prop("a frame with changed bytes is decoded or refused",
         [](std::size_t kind, std::vector<std::pair<std::size_t, char>> changes) {
-            std::string frame = encodeMessage(sample(kind));
+            std::string frame = encodeRaftMessage(sample(kind));
             for (const auto& [position, byte] : changes)
                 frame[position % frame.size()] = byte;
             Reason ignored;
-            const auto decoded = decodeMessage(frame, ignored);
+            const auto decoded = decodeRaftMessage(frame, ignored);
             RC_ASSERT(decoded || ignored.m_code != ResultCode::Ok);
         });
 }
--- a/src/libflamingo/control/codec.cpp
+++ b/src/libflamingo/control/codec.cpp
@@ -321,7 +321,8 @@
 // --- Envelope.
 
 constexpr std::array<const char*, std::variant_size_v<ControlMessage>> messageNames { "hello", "renew",
-    "commandRequest", "statusRequest", "notLeader", "grant", "delta", "fullCopy", "commandReply", "statusReply" };
+    "commandRequest", "statusRequest", "notLeader", "grant", "delta", "fullCopy", "commandReply", "statusReply",
+    "adminRequest", "adminReply" };
 
 std::string envelope(const char* type, Json body)
 {
--- a/src/libflamingo/control/codec.h
+++ b/src/libflamingo/control/codec.h
@@ -22,7 +22,7 @@
  * Returns the message as one CBOR map {v: protocol version, t: type name, b: fields in order}.
  *
  * Type names are "hello", "renew", "commandRequest", "statusRequest", "notLeader", "grant", "delta",
- * "fullCopy", "commandReply" and "statusReply".
+ * "fullCopy", "commandReply", "statusReply", "adminRequest" and "adminReply".
  */
 std::string encodeMessage(const ControlMessage& message);
 std::optional<ControlMessage> decodeMessage(std::string_view bytes, Reason& reason);
--- a/src/libflamingo/control/controlclient.h
+++ b/src/libflamingo/control/controlclient.h
@@ -22,6 +22,7 @@
 
 using CommandHandler = std::function<void(CommandResult)>;
 // Without a reply the reason says why.
+using AdminHandler = std::function<void(std::optional<AdminReply>, Reason)>;
 using StatusHandler = std::function<void(std::optional<StatusReply>, Reason)>;
 
 /**
@@ -73,6 +74,13 @@
     /** Asks whether a revision is in force everywhere. */
     void queryStatus(Revision revision, Milliseconds timeout, StatusHandler handler, MonotonicTime now);
 
+    /**
+     * Has the leader answer the request, whose sequence is set here.
+     *
+     * A membership change is sent again to the next leader until the timeout; repeating it does no harm.
+     */
+    void administer(AdminRequest request, Milliseconds timeout, AdminHandler handler, MonotonicTime now);
+
     /** Passes on that an endpoint renewed here, with the next renewal of the lease. */
     void noteEndpointRenewal(const EndpointId& endpoint);
 
@@ -102,12 +110,13 @@
         Open,
     };
     struct Pending {
-        std::variant<CommandRequest, StatusRequest> m_request;
+        std::variant<CommandRequest, StatusRequest, AdminRequest> m_request;
         MonotonicTime m_deadline; // of the handler
         MonotonicTime m_retryUntil; // sent again until then
         bool m_everSent = false;
         CommandHandler m_commandHandler;
         StatusHandler m_statusHandler;
+        AdminHandler m_adminHandler;
     };
     using PendingMap = std::map<std::uint64_t, Pending>;
 
@@ -126,6 +135,7 @@
     void handle(FullCopy& copy, MonotonicTime now);
     void handle(const CommandReply& reply, MonotonicTime now);
     void handle(const StatusReply& reply, MonotonicTime now);
+    void handle(const AdminReply& reply, MonotonicTime now);
     template <typename Other> void handle(const Other&, MonotonicTime now) { refuseMessage(now); }
     void refuseMessage(MonotonicTime now);
     void afterUpdate(StateUpdate update, MonotonicTime now);
--- a/src/libflamingo/control/controlclientpending.cpp
+++ b/src/libflamingo/control/controlclientpending.cpp
@@ -80,6 +80,20 @@
     addPending(std::move(pending));
 }
 
+void ControlClient::administer(AdminRequest request, Milliseconds timeout, AdminHandler handler, MonotonicTime now)
+{
+    if (m_pending.size() >= maximumPending) {
+        handler(std::nullopt, Reason { ResultCode::Overloaded, "too many requests are waiting for control" });
+        return;
+    }
+    Pending pending;
+    pending.m_deadline = now + timeout;
+    pending.m_retryUntil = pending.m_deadline;
+    pending.m_request = std::move(request);
+    pending.m_adminHandler = std::move(handler);
+    addPending(std::move(pending));
+}
+
 void ControlClient::addPending(Pending pending)
 {
     const std::uint64_t sequence = ++m_sequence;
@@ -122,6 +136,17 @@
         pending.m_statusHandler(reply, Reason {});
 }
 
+void ControlClient::handle(const AdminReply& reply, MonotonicTime)
+{
+    const auto position = m_pending.find(reply.m_sequence);
+    if (position == m_pending.end() || !std::holds_alternative<AdminRequest>(position->second.m_request))
+        return;
+    const Pending pending = std::move(position->second);
+    m_pending.erase(position);
+    if (pending.m_adminHandler)
+        pending.m_adminHandler(reply, Reason {});
+}
+
 void ControlClient::expirePending(MonotonicTime now)
 {
     std::vector<Pending> expired;
@@ -154,6 +179,11 @@
             std::nullopt, Reason { ResultCode::ControlUnavailable, "no control leader answered in time" });
         return;
     }
+    if (pending.m_adminHandler) {
+        pending.m_adminHandler(
+            std::nullopt, Reason { ResultCode::ControlUnavailable, "no control leader answered in time" });
+        return;
+    }
     const auto& command = std::get<CommandRequest>(pending.m_request).m_command;
     const auto* open = std::get_if<OpenClaim>(&command.m_body);
     if (open != nullptr && pending.m_everSent)
--- a/src/libflamingo/control/controlclientports.h
+++ b/src/libflamingo/control/controlclientports.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "control/linkid.h"
 #include "control/publishedstate.h"
+#include "link/linkid.h"
 
 #include <functional>
 #include <memory>
--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -312,6 +312,20 @@
     return true;
 }
 
+bool ControlService::handle(LinkId link, Session&, const AdminRequest& request, MonotonicTime)
+{
+    if (!isReady()) {
+        sendNotLeader(link, request.m_sequence);
+        return true;
+    }
+    AdminReply reply { request.m_sequence, ResultCode::InternalError, "administration is not available", "[]" };
+    if (m_ports.m_administer)
+        reply = m_ports.m_administer(request);
+    reply.m_sequence = request.m_sequence;
+    send(link, reply);
+    return true;
+}
+
 bool ControlService::checkInForce(Revision revision, MonotonicTime now)
 {
     if (!m_ready || revision > m_state.m_published.m_revision)
--- a/src/libflamingo/control/controlservice.h
+++ b/src/libflamingo/control/controlservice.h
@@ -80,6 +80,8 @@
     bool checkInForce(Revision revision, MonotonicTime now);
 
     const ControlState& state() const { return m_state; }
+    /** Returns the leases of the current term, for display; empty while this VM does not lead. */
+    const LeaseTable& leases() const { return m_leases; }
     const ControlServiceCounters& counters() const { return m_counters; }
     const Reason& lastReason() const { return m_reason; }
 
@@ -107,6 +109,7 @@
     bool handle(LinkId link, Session& session, const Renew& renew, MonotonicTime now);
     bool handle(LinkId link, Session& session, const CommandRequest& request, MonotonicTime now);
     bool handle(LinkId link, Session& session, const StatusRequest& request, MonotonicTime now);
+    bool handle(LinkId link, Session& session, const AdminRequest& request, MonotonicTime now);
     template <typename Other> bool handle(LinkId, Session&, const Other&, MonotonicTime) { return refuseMessage(); }
     bool refuseMessage();
     bool isInForce(Revision revision, MonotonicTime now) const;
--- a/src/libflamingo/control/controlserviceports.h
+++ b/src/libflamingo/control/controlserviceports.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "base/time.h"
-#include "control/linkid.h"
+#include "control/messages.h"
+#include "link/linkid.h"
 
 #include <functional>
 #include <optional>
@@ -27,6 +28,8 @@
     // Sends one encoded message; a failure closes the link later through onLinkClosed().
     std::function<void(LinkId, const std::string& bytes)> m_send;
     std::function<LogTime()> m_wallClock;
+    // Answers what concerns the members of the log. May be unset.
+    std::function<AdminReply(const AdminRequest&)> m_administer;
 };
 
 } // namespace flamingo
--- a/src/libflamingo/control/messages.h
+++ b/src/libflamingo/control/messages.h
@@ -61,6 +61,21 @@
     Revision m_revision; // revision of the command that is waited for
 };
 
+enum class AdminAction {
+    ListMembers,
+    ListLeases,
+    ListClaims,
+    AddMember, // a control VM by name and address
+    RemoveMember, // by member id
+};
+/** Asks the leader about, or changes, what the published state does not hold. */
+struct AdminRequest {
+    std::uint64_t m_sequence = 0;
+    AdminAction m_action = AdminAction::ListMembers;
+    std::string m_argument; // service of the claims, VM name or member id
+    std::string m_address; // of a member to add, IP address and port
+};
+
 // Control to entry VM.
 struct NotLeader {
     std::string m_leaderAddress; // empty when unknown
@@ -94,7 +109,14 @@
     bool m_inForce = false;
 };
 
+struct AdminReply {
+    std::uint64_t m_sequence = 0;
+    ResultCode m_code = ResultCode::Ok;
+    std::string m_text;
+    std::string m_rows = "[]"; // JSON array of objects
+};
+
 using ControlMessage = std::variant<Hello, Renew, CommandRequest, StatusRequest, NotLeader, Grant, Delta, FullCopy,
-    CommandReply, StatusReply>;
+    CommandReply, StatusReply, AdminRequest, AdminReply>;
 
 } // namespace flamingo
--- a/src/libflamingo/control/recordfields.h
+++ b/src/libflamingo/control/recordfields.h
@@ -247,6 +247,17 @@
         return std::tie(s.m_sequence, s.m_holdersConfirmed, s.m_holdersTotal, s.m_inForce);
     }
 };
+template <> struct Fields<AdminRequest> {
+    static constexpr const char* name = "AdminRequest";
+    template <typename S> static auto tie(S& s)
+    {
+        return std::tie(s.m_sequence, s.m_action, s.m_argument, s.m_address);
+    }
+};
+template <> struct Fields<AdminReply> {
+    static constexpr const char* name = "AdminReply";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_sequence, s.m_code, s.m_text, s.m_rows); }
+};
 template <> struct Fields<ClaimKey> {
     static constexpr const char* name = "ClaimKey";
     template <typename S> static auto tie(S& s) { return std::tie(s.m_seconds, s.m_service, s.m_request); }
@@ -301,6 +312,9 @@
 template <> struct EnumLimit<ClaimOutcome> {
     static constexpr ClaimOutcome last = ClaimOutcome::Unknown;
 };
+template <> struct EnumLimit<AdminAction> {
+    static constexpr AdminAction last = AdminAction::RemoveMember;
+};
 template <> struct EnumLimit<ClaimPhase> {
     static constexpr ClaimPhase last = ClaimPhase::Lost;
 };
--- a/src/libflamingo/daemon/controllink.cpp
+++ b/src/libflamingo/daemon/controllink.cpp
@@ -11,10 +11,7 @@
 
 namespace {
 
-MonotonicTime clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
+MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
 } // namespace
 
@@ -61,9 +58,6 @@
         retire();
 }
 
-void ControlLink::retire()
-{
-    m_link.reset();
-}
+void ControlLink::retire() { m_link.reset(); }
 
 } // namespace flamingo
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -14,10 +14,7 @@
 
 namespace {
 
-MonotonicTime clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
+MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
 } // namespace
 
@@ -30,10 +27,7 @@
 {
 }
 
-ControlRole::~ControlRole()
-{
-    stop();
-}
+ControlRole::~ControlRole() { stop(); }
 
 bool ControlRole::start(MonotonicTime now, Reason& reason)
 {
@@ -46,17 +40,16 @@
     callbacks.m_opened = [this](LinkId link, const std::string&, const std::string& path) { linkOpened(link, path); };
     callbacks.m_message = [this](LinkId link, const std::string& message) { linkMessage(link, message); };
     callbacks.m_closed = [this](LinkId link, const Reason&) { linkClosed(link); };
-    m_server = std::make_unique<LinkServer>(
-        m_io, m_settings.m_listenAddress, m_settings.m_listenPort, std::move(callbacks));
+    m_server
+        = std::make_unique<LinkServer>(m_io, m_settings.m_listenAddress, m_settings.m_listenPort, std::move(callbacks));
     return m_server->start(reason);
 }
 
 void ControlRole::makeService()
 {
     ControlServicePorts ports;
-    ports.m_propose = [this](std::string entry) {
-        return m_member && m_member->propose(std::move(entry), clockNow()).has_value();
-    };
+    ports.m_propose
+        = [this](std::string entry) { return m_member && m_member->propose(std::move(entry), clockNow()).has_value(); };
     ports.m_readyToServe = [this] { return m_member && m_member->readyToServe(); };
     ports.m_confirmedRoundStart
         = [this] { return m_member ? m_member->confirmedRoundStart() : std::optional<MonotonicTime>(); };
--- a/src/libflamingo/daemon/peerlinks.cpp
+++ b/src/libflamingo/daemon/peerlinks.cpp
@@ -27,9 +27,6 @@
     }
 }
 
-void PeerLinks::stop()
-{
-    m_peers.clear();
-}
+void PeerLinks::stop() { m_peers.clear(); }
 
 } // namespace flamingo
