--- a/src/libflamingo/endpoint/tests/testserver.h
+++ b/src/libflamingo/endpoint/tests/testserver.h
@@ -49,6 +49,14 @@
         accept();
     }
 
+    ~TestServer()
+    {
+        for (auto& weak : m_sessions) {
+            if (auto session = weak.lock())
+                session->m_server = nullptr;
+        }
+    }
+
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
     void closeAll()
@@ -68,30 +76,34 @@
 private:
     struct Session : std::enable_shared_from_this<Session> {
         Session(TestServer& server, boost::asio::ip::tcp::socket socket, std::size_t number)
-            : m_server(server)
+            : m_server(&server)
             , m_socket(std::move(socket))
             , m_timer(m_socket.get_executor())
             , m_number(number)
         {
-            m_server.m_peak = std::max(m_server.m_peak, ++m_server.m_open);
+            m_server->m_peak = std::max(m_server->m_peak, ++m_server->m_open);
+        }
+        ~Session()
+        {
+            if (m_server)
+                --m_server->m_open;
         }
-        ~Session() { --m_server.m_open; }
 
         void read()
         {
             m_request = {};
             boost::beast::http::async_read(
                 m_socket, m_buffer, m_request, [self = shared_from_this()](auto error, std::size_t) {
-                    if (!error)
+                    if (!error && self->m_server)
                         self->react();
                 });
         }
 
         void react()
         {
-            m_server.m_requests.push_back(m_request);
-            m_server.m_connectionOfRequest.push_back(m_number);
-            m_reaction = m_server.m_script(m_request);
+            m_server->m_requests.push_back(m_request);
+            m_server->m_connectionOfRequest.push_back(m_number);
+            m_reaction = m_server->m_script(m_request);
             if (m_reaction.m_delay.count() == 0)
                 return write();
             m_timer.expires_after(m_reaction.m_delay);
@@ -109,7 +121,7 @@
                 read();
         }
 
-        TestServer& m_server;
+        TestServer* m_server; // none once the server is destroyed
         boost::asio::ip::tcp::socket m_socket;
         boost::asio::steady_timer m_timer;
         std::size_t m_number;
