Add the HTTP server for callers, endpoints and operators

Callers, endpoints, operators, the load balancer and the metrics collector reach a VM over HTTP.

ulfius reads a whole body before it calls the application and silently drops what exceeds its limit.

--- /dev/null
+++ b/src/libflamingo/api/announcementanswer.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/resultcode.h"
+#include "base/time.h"
+
+#include <string>
+
+namespace flamingo {
+
+/** What an endpoint receives for an announcement. */
+struct AnnouncementAnswer {
+    ResultCode m_code = ResultCode::Ok; // UnknownName: the endpoint has to register again
+    std::string m_text;
+    Revision m_revision; // that contains the announcement; 0 for renewals
+    Milliseconds m_renewEvery { 2000 };
+    Milliseconds m_retryAfter { 0 };
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/api/uploadguard.cpp
@@ -0,0 +1,122 @@
+#include "api/uploadguard.h"
+
+#include "api/answerwriter.h"
+
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <string>
+
+namespace flamingo::detail {
+
+namespace {
+constexpr Milliseconds checkInterval { 50 };
+// Wait for the caller to notice the refusal and stop sending.
+constexpr Milliseconds lingerTime { 1000 };
+// Headers, chunk sizes and what the kernel received before the request was first seen.
+constexpr std::uint64_t headerAllowance = 64u << 10;
+
+std::uint64_t receivedBytes(int socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_bytes_received : 0;
+}
+
+void answer(int socket, const char* status, ResultCode code, const std::string& text)
+{
+    const std::string body = writeAnswer(Reason { code, text });
+    const std::string response = std::string("HTTP/1.1 ") + status
+        + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+    // The server writes nothing while it reads a body, so the socket's buffer has room.
+    (void)::send(socket, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    ::shutdown(socket, SHUT_WR);
+}
+} // namespace
+
+UploadGuard::UploadGuard(std::uint64_t maxBytes, Milliseconds timeout)
+    : m_maxBytes(maxBytes)
+    , m_timeout(timeout)
+    , m_thread([this] { run(); })
+{
+}
+
+UploadGuard::~UploadGuard() { stop(); }
+
+void UploadGuard::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopped = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+WatchedConnection* UploadGuard::add(int socket)
+{
+    const std::lock_guard lock(m_mutex);
+    m_connections.emplace_back().m_socket = socket;
+    return &m_connections.back();
+}
+
+void UploadGuard::remove(WatchedConnection* connection)
+{
+    const std::lock_guard lock(m_mutex);
+    m_connections.remove_if([connection](const WatchedConnection& each) { return &each == connection; });
+}
+
+void UploadGuard::begin(WatchedConnection* connection)
+{
+    const std::lock_guard lock(m_mutex);
+    connection->m_uploading = true;
+    connection->m_receivedBefore = receivedBytes(connection->m_socket);
+    connection->m_since = std::chrono::steady_clock::now();
+}
+
+bool UploadGuard::end(WatchedConnection* connection)
+{
+    const std::lock_guard lock(m_mutex);
+    connection->m_uploading = false;
+    return !connection->m_refused;
+}
+
+void UploadGuard::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_wake.wait_for(lock, checkInterval, [this] { return m_stopped; })) {
+        const MonotonicTime now = std::chrono::steady_clock::now();
+        for (WatchedConnection& connection : m_connections)
+            check(connection, now);
+    }
+}
+
+void UploadGuard::check(WatchedConnection& connection, MonotonicTime now) const
+{
+    if (connection.m_refused) {
+        if (!connection.m_cutOff && now - connection.m_since >= lingerTime) {
+            connection.m_cutOff = true;
+            ::shutdown(connection.m_socket, SHUT_RDWR);
+        }
+        return;
+    }
+    if (!connection.m_uploading)
+        return;
+    const std::uint64_t received = receivedBytes(connection.m_socket) - connection.m_receivedBefore;
+    if (received > m_maxBytes + headerAllowance)
+        answer(connection.m_socket, "413 Payload Too Large", ResultCode::BodyTooLarge,
+            "body exceeds the limit of " + std::to_string(m_maxBytes) + " bytes");
+    else if (now - connection.m_since >= m_timeout)
+        answer(connection.m_socket, "408 Request Timeout", ResultCode::MalformedBody,
+            "request was not complete within " + std::to_string(m_timeout.count()) + " ms");
+    else
+        return;
+    connection.m_refused = true;
+    connection.m_since = now;
+}
+
+} // namespace flamingo::detail
