Tell the reporting VM of a quarantine that stands already

Cause: a VM that reports a death waits for the decision; the result named only new quarantines, so a VM whose report came after the second death of another VM would have gone on to a further endpoint. Change: the result lists all reported fingerprints that are quarantined now; codec test covers the administrative messages. Conclusion: control tests pass.

--- a/src/libflamingo/control/applysuspects.cpp
+++ b/src/libflamingo/control/applysuspects.cpp
@@ -42,20 +42,18 @@
     noteQuarantineExpiry(context.m_state);
 }
 
-// Returns whether the death led to a new quarantine.
-bool addDeath(ApplyContext& context, Fingerprint fingerprint, const ReportDeath& command)
+void addDeath(ApplyContext& context, Fingerprint fingerprint, const ReportDeath& command)
 {
     ControlState& state = context.m_state;
     SuspectRecord& suspect = state.m_suspects[fingerprint];
     if (suspect.m_cleared)
-        return false;
+        return;
     suspect.m_service = command.m_service;
     suspect.m_endpoints.insert(command.m_endpoint);
     touch(state, fingerprint, suspect);
     if (suspect.m_endpoints.size() < deathsToQuarantine || state.m_published.m_quarantine.count(fingerprint) > 0)
-        return false;
+        return;
     quarantine(context, fingerprint, suspect);
-    return true;
 }
 
 } // namespace
@@ -101,9 +99,11 @@
     if (!isValidName(command.m_endpoint.value()) || command.m_suspects.size() > maximumSuspectsInReport)
         return refusal(ResultCode::InvalidField,
             "a death needs an endpoint and at most " + std::to_string(maximumSuspectsInReport) + " fingerprints");
+    // Lists all that are quarantined now, also by earlier reports, since the reporting VM waits for the decision.
     std::string quarantined;
     for (const Fingerprint fingerprint : command.m_suspects) {
-        if (addDeath(context, fingerprint, command))
+        addDeath(context, fingerprint, command);
+        if (context.m_state.m_published.m_quarantine.count(fingerprint) > 0)
             quarantined += (quarantined.empty() ? "quarantined: " : ", ") + hexadecimal(fingerprint);
     }
     boundSuspects(context.m_state);
--- a/src/libflamingo/control/tests/codectest.cpp
+++ b/src/libflamingo/control/tests/codectest.cpp
@@ -33,7 +33,8 @@
         Grant { 4, Milliseconds(2900), true, LogTime(startSeconds * 1000) }, delta,
         FullCopy { replica.m_state.m_published, publishedDigest(replica.m_state.m_published) },
         CommandReply { 1, { ResultCode::VersionMismatch, "text", Revision(3), ConfigurationVersion(4), true } },
-        StatusReply { 2, 3, 4, true } };
+        StatusReply { 2, 3, 4, true }, AdminRequest { 5, AdminAction::AddMember, "vm4", "127.0.0.4:7100" },
+        AdminReply { 6, ResultCode::UnknownName, "text", "[]" } };
 }
 
 } // namespace
