--- /dev/null
+++ b/src/libflamingo/base/units.cpp
@@ -0,0 +1,91 @@
+#include "base/units.h"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace flamingo {
+
+namespace {
+
+struct Unit {
+    std::string_view m_name;
+    std::uint64_t m_factor;
+};
+
+// Largest first, as printing needs it.
+constexpr std::array<Unit, 4> durationUnits { Unit { "h", 3600000 }, { "min", 60000 }, { "s", 1000 }, { "ms", 1 } };
+constexpr std::array<Unit, 4> sizeUnits { Unit { "GiB", 1ULL << 30U }, { "MiB", 1ULL << 20U }, { "KiB", 1ULL << 10U },
+    { "B", 1 } };
+
+// Products stay far below 2^53, so that doubles hold them exactly.
+constexpr double largestValue = 1e15;
+
+std::optional<std::uint64_t> multiply(std::string_view number, std::string_view unit, const std::array<Unit, 4>& units)
+{
+    double value = 0;
+    const char* end = number.data() + number.size();
+    const auto result = std::from_chars(number.data(), end, value, std::chars_format::fixed);
+    if (result.ec != std::errc() || result.ptr != end || !std::isfinite(value) || std::signbit(value))
+        return std::nullopt;
+    for (const Unit& candidate : units) {
+        if (candidate.m_name != unit)
+            continue;
+        const double product = value * static_cast<double>(candidate.m_factor);
+        if (product > largestValue)
+            return std::nullopt;
+        return static_cast<std::uint64_t>(std::llround(product));
+    }
+    return std::nullopt;
+}
+
+/** Splits "64 MiB" or "64MiB" into number and unit. */
+std::pair<std::string_view, std::string_view> split(std::string_view text)
+{
+    const std::size_t end = std::min(text.find_first_not_of("0123456789."), text.size());
+    std::string_view unit = text.substr(end);
+    while (!unit.empty() && unit.front() == ' ')
+        unit.remove_prefix(1);
+    return { text.substr(0, end), unit };
+}
+
+std::string print(std::uint64_t value, const std::array<Unit, 4>& units)
+{
+    for (const Unit& unit : units) {
+        if (value >= unit.m_factor && value % unit.m_factor == 0)
+            return std::to_string(value / unit.m_factor) + " " + std::string(unit.m_name);
+    }
+    return std::to_string(value) + " " + std::string(units.back().m_name);
+}
+
+} // namespace
+
+std::optional<Milliseconds> makeDuration(std::string_view number, std::string_view unit)
+{
+    const auto value = multiply(number, unit, durationUnits);
+    if (!value)
+        return std::nullopt;
+    return Milliseconds(static_cast<Milliseconds::rep>(*value));
+}
+
+std::optional<Milliseconds> parseDuration(std::string_view text)
+{
+    const auto [number, unit] = split(text);
+    return makeDuration(number, unit);
+}
+
+std::optional<std::uint64_t> parseSize(std::string_view text)
+{
+    const auto [number, unit] = split(text);
+    return multiply(number, unit, sizeUnits);
+}
+
+std::string printDuration(Milliseconds duration)
+{
+    return print(static_cast<std::uint64_t>(duration.count()), durationUnits);
+}
+
+std::string printSize(std::uint64_t bytes) { return print(bytes, sizeUnits); }
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/settings/settings.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "settings/socketaddress.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace flamingo {
+
+enum class LogLevel {
+    Trace,
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/** Interface to callers, operators and endpoints. */
+struct EntrySettings {
+    std::string m_listen = "0.0.0.0";
+    std::uint16_t m_port = 8400;
+    std::uint32_t m_maxConnections = 512; // callers; each takes one thread
+    std::uint64_t m_maxBody = 1048576; // bytes of one request
+    // Shares of the work under overload. A caller without a known class counts as "default".
+    std::map<CallerClass, std::uint32_t> m_callerClasses { { CallerClass("default"), 1 } };
+};
+
+/** One voter of the replicated log. */
+struct ControlMember {
+    VmId m_vm;
+    SocketAddress m_address; // of its links
+};
+
+/** Replicated log and state. */
+struct ControlSettings {
+    SocketAddress m_listen { "0.0.0.0", 8401 }; // links from members and entry VMs
+    std::string m_dataFolder;
+    std::vector<ControlMember> m_members;
+    bool m_bootstrap = false; // forms a new cluster if all members are fresh
+};
+
+struct LoggingSettings {
+    LogLevel m_level = LogLevel::Info;
+    std::string m_file; // empty for standard error
+};
+
+/** What one VM takes on at the same time, whatever the number of callers. */
+struct LimitSettings {
+    std::uint32_t m_queries = 2000; // executing
+    std::uint32_t m_requests = 256; // executing, not idempotent
+    std::uint32_t m_queued = 1000; // admitted later, for each service
+    std::uint32_t m_endpointConnections = 4000;
+};
+
+/** Settings of one daemon, checked as a whole. */
+struct Settings {
+    VmId m_vm;
+    DataCentreName m_dataCentre;
+    bool m_entryRole = false;
+    bool m_controlRole = false;
+    EntrySettings m_entry;
+    ControlSettings m_control;
+    // Links of the control members: those listed for the control role unless given for entry alone.
+    std::vector<SocketAddress> m_controlAddresses;
+    LoggingSettings m_logging;
+    LimitSettings m_limits;
+    Milliseconds m_shutdownGrace { 30000 }; // for requests in flight
+};
+
+} // namespace flamingo
