--- a/src/libflamingo/base/log.cpp
+++ b/src/libflamingo/base/log.cpp
@@ -28,6 +28,8 @@
 const char* levelName(LogLevel level)
 {
     switch (level) {
+    case LogLevel::Trace:
+        return "trace";
     case LogLevel::Debug:
         return "debug";
     case LogLevel::Info:
--- a/src/libflamingo/base/log.h
+++ b/src/libflamingo/base/log.h
@@ -8,6 +8,7 @@
 namespace flamingo {
 
 enum class LogLevel {
+    Trace,
     Debug,
     Info,
     Warning,
--- a/src/libflamingo/settings/settings.h
+++ b/src/libflamingo/settings/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/log.h"
 #include "base/time.h"
 #include "settings/socketaddress.h"
 
@@ -11,14 +12,6 @@
 
 namespace flamingo {
 
-enum class LogLevel {
-    Trace,
-    Debug,
-    Info,
-    Warning,
-    Error,
-};
-
 /** Interface to callers, operators and endpoints. */
 struct EntrySettings {
     std::string m_listen = "0.0.0.0";
