Add the query and command language

Operators and flamingoctl need one language for changes, lists and requests. A lexer and a recursive-descent parser give a variant of statements that uses the bodies of control/command.h; printing a statement and parsing it again gives the same one.

--- /dev/null
+++ b/src/libflamingo/language/statement.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "control/command.h"
+#include "language/querystatement.h"
+#include "language/removemember.h"
+#include "language/sendstatement.h"
+#include "language/showstatement.h"
+
+#include <string>
+#include <variant>
+
+namespace flamingo {
+
+/**
+ * One statement of the query and command language.
+ *
+ * DECLARE REQUEST is an AlterService with one declared kind.
+ */
+using Statement = std::variant<CreateService, AlterService, DropService, DrainEndpoint, RestoreEndpoint, LiftQuarantine,
+    RemoveMember, ShowStatement, QueryStatement, SendStatement>;
+
+/** Returns whether the statement changes the configuration, so that it needs a command id. Thread-safe. */
+bool isChange(const Statement& statement);
+
+/** Returns the statement's text, which parses to an equal statement. Thread-safe. */
+std::string printStatement(const Statement& statement);
+
+/** Returns the fingerprint as 16 hexadecimal digits, as LIFT QUARANTINE takes it. Thread-safe. */
+std::string printFingerprint(Fingerprint fingerprint);
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/language/statementwords.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace flamingo::detail {
+
+// In the order of ShowSubject.
+inline const std::vector<std::string> showSubjects { "SERVICES", "ENDPOINTS", "VMS", "VERSIONS", "LEASES", "QUARANTINE",
+    "MEMBERS", "CLAIMS" };
+
+inline const std::vector<std::string> statementVerbs { "CREATE", "ALTER", "DROP", "DECLARE", "DRAIN", "RESTORE", "LIFT",
+    "REMOVE", "SHOW", "QUERY", "SEND" };
+
+inline const std::vector<std::string> serviceOptions { "snapshot", "prefer", "floor", "deadline", "patience",
+    "extra_load", "connections", "slots", "canary" };
+
+} // namespace flamingo::detail
