--- a/src/libflamingo/control/apply.cpp
+++ b/src/libflamingo/control/apply.cpp
@@ -121,7 +121,7 @@
     const auto earlier = state.m_results.find(command.m_id);
     if (earlier != state.m_results.end()) {
         if (earlier->second.m_commandHash == hash) {
-            const CommandResult result = earlier->second.m_result;
+            CommandResult result = earlier->second.m_result;
             finish({}, false);
             return result;
         }
--- a/src/libflamingo/control/recordbytes.h
+++ b/src/libflamingo/control/recordbytes.h
@@ -31,7 +31,7 @@
         } else if constexpr (std::is_enum_v<T> || std::is_integral_v<T>) {
             appendInteger(static_cast<std::uint64_t>(value));
         } else if constexpr (HasFields<T>::value) {
-            std::apply([this](const auto&... fields) { (append(fields), ...); }, Fields<T>::tie(value));
+            std::apply([this](const auto&... fields) { (this->append(fields), ...); }, Fields<T>::tie(value));
         } else {
             appendLibraryType(value);
         }
@@ -80,7 +80,7 @@
     template <typename... Ts> void appendLibraryType(const std::variant<Ts...>& value)
     {
         appendInteger(value.index());
-        std::visit([this](const auto& alternative) { append(alternative); }, value);
+        std::visit([this](const auto& alternative) { this->append(alternative); }, value);
     }
     template <typename R> void appendRange(const R& values)
     {
