--- a/src/libflamingo/control/tests/applytest.cpp
+++ b/src/libflamingo/control/tests/applytest.cpp
@@ -94,7 +94,10 @@
         {
             replica.run(registration("e1", "verse", 1, 0, 1));
             REQUIRE(replica.operate("d1", DrainEndpoint { EndpointId("e1") }).m_code == ResultCode::Ok);
-            REQUIRE(replica.operate("d2", DrainEndpoint { EndpointId("e1") }).m_code == ResultCode::Ok);
+            INFO("guards against two equal commands with one expected version both winning");
+            REQUIRE(replica.operate("d2", DrainEndpoint { EndpointId("e1") }, 2).m_code == ResultCode::Ok);
+            REQUIRE(
+                replica.operate("d2b", DrainEndpoint { EndpointId("e1") }, 2).m_code == ResultCode::VersionMismatch);
             replica.run(RemoveEndpoints { { { EndpointId("e1"), Incarnation(1), false } } });
             replica.run(registration("e1", "verse", 1, 0, 2));
             REQUIRE(replica.m_state.m_published.m_operatorDrains.count(EndpointId("e1")) == 1);
