Add flamingoctl

The stub endpoint's scenario port 0 now gives each endpoint a free port; before, the second endpoint got port 1, which another program's test then met.

--- a/bench/endpoint/adminserver.cpp
+++ b/bench/endpoint/adminserver.cpp
@@ -38,6 +38,8 @@
         m_response = {};
         m_response.body() = m_handler(
             std::string(m_request.method_string()), std::string(m_request.target()), m_request.body(), status);
+        if (status == 0)
+            return;
         m_response.result(status);
         m_response.keep_alive(m_request.keep_alive());
         m_response.prepare_payload();
--- a/bench/endpoint/adminserver.h
+++ b/bench/endpoint/adminserver.h
@@ -9,7 +9,11 @@
 
 namespace flamingo::bench {
 
-/** Small HTTP server that hands whole requests to a function. Not thread-safe. */
+/**
+ * Small HTTP server that hands whole requests to a function. Not thread-safe.
+ *
+ * A status of 0 closes the connection without an answer.
+ */
 class AdminServer {
 public:
     using Handler = std::function<std::string(
--- a/bench/endpoint/scenario.cpp
+++ b/bench/endpoint/scenario.cpp
@@ -88,7 +88,7 @@
         record.m_id = EndpointId(prefix + "-" + std::to_string(shard) + "-" + std::to_string(i % replicas));
         record.m_service = name;
         record.m_address = boost::asio::ip::address_v4(base + static_cast<std::uint32_t>(i / perAddress)).to_string();
-        record.m_port = static_cast<std::uint16_t>(port + i % perAddress);
+        record.m_port = static_cast<std::uint16_t>(port == 0 ? 0 : port + i % perAddress);
         record.m_dataCentre = DataCentreName(dataCentres[(i % replicas + shard) % dataCentres.size()]);
         record.m_slots = service.value("slots", 2U);
         record.m_connections = service.value("connections", 60U);
--- /dev/null
+++ b/src/flamingoctl/httpexchange.cpp
@@ -0,0 +1,112 @@
+#include "httpexchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+namespace flamingo::ctl {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// A server that does not accept a connection by then leaves time to try the next one.
+constexpr Milliseconds connectTimeout { 2000 };
+constexpr std::uint64_t largestAnswer = 64 * 1024 * 1024;
+constexpr int http11 = 11;
+
+/** One exchange, step by step on its own io_context. */
+class Exchange {
+public:
+    explicit Exchange(MonotonicTime deadline)
+        : m_stream(m_context)
+        , m_resolver(m_context)
+        , m_deadline(deadline)
+    {
+    }
+
+    ExchangeResult run(
+        const std::string& server, const std::string& method, const std::string& target, const std::string& body)
+    {
+        const std::size_t colon = server.rfind(':');
+        if (colon == std::string::npos) {
+            m_result.m_text = "'" + server + "' is no address and port, such as 10.0.0.1:8400";
+            return m_result;
+        }
+        m_request = { http::string_to_verb(method), target, http11, body };
+        m_request.set(http::field::host, server);
+        m_request.set(http::field::content_type, "application/json");
+        m_request.set(http::field::connection, "close");
+        m_request.prepare_payload();
+        error_code error;
+        const auto addresses = m_resolver.resolve(server.substr(0, colon), server.substr(colon + 1), error);
+        if (error) {
+            m_result.m_text = error.message();
+            return m_result;
+        }
+        m_stream.expires_at(std::min(m_deadline, std::chrono::steady_clock::now() + connectTimeout));
+        m_stream.async_connect(addresses, [this](error_code result, const auto&) {
+            if (result)
+                m_result.m_text = "connecting failed: " + result.message();
+            else
+                write();
+        });
+        m_context.run();
+        return std::move(m_result);
+    }
+
+private:
+    void write()
+    {
+        m_result.m_outcome = ExchangeOutcome::NoAnswer;
+        m_stream.expires_at(m_deadline);
+        http::async_write(m_stream, m_request, [this](error_code error, std::size_t) {
+            if (error)
+                m_result.m_text = "sending failed: " + error.message();
+            else
+                read();
+        });
+    }
+
+    void read()
+    {
+        m_parser.body_limit(largestAnswer);
+        http::async_read(m_stream, m_buffer, m_parser, [this](error_code error, std::size_t) {
+            if (error) {
+                m_result.m_text = error == boost::beast::error::timeout ? "no answer in time"
+                                                                        : "no whole answer: " + error.message();
+                return;
+            }
+            m_result.m_outcome = ExchangeOutcome::Answered;
+            m_result.m_status = m_parser.get().result_int();
+            m_result.m_body = std::move(m_parser.get().body());
+        });
+    }
+
+    asio::io_context m_context;
+    boost::beast::tcp_stream m_stream;
+    asio::ip::tcp::resolver m_resolver;
+    MonotonicTime m_deadline;
+    http::request<http::string_body> m_request;
+    http::response_parser<http::string_body> m_parser;
+    boost::beast::flat_buffer m_buffer;
+    ExchangeResult m_result;
+};
+
+} // namespace
+
+ExchangeResult exchange(const std::string& server, const std::string& method, const std::string& target,
+    const std::string& body, MonotonicTime deadline)
+{
+    return Exchange(deadline).run(server, method, target, body);
+}
+
+} // namespace flamingo::ctl
--- /dev/null
+++ b/src/flamingoctl/statementrunner.cpp
@@ -0,0 +1,170 @@
+#include "statementrunner.h"
+
+#include "httpexchange.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace flamingo::ctl {
+
+namespace {
+
+constexpr Milliseconds resendPause { 500 };
+constexpr Milliseconds longestPoll { 1000 };
+// Beyond the time that the daemon itself takes for a poll.
+constexpr Milliseconds pollMargin { 2000 };
+
+/** Returns whether another daemon may well run what this one refused. */
+bool concernsThisDaemonAlone(int code)
+{
+    switch (static_cast<ResultCode>(code)) {
+    case ResultCode::NoLease:
+    case ResultCode::Stopping:
+    case ResultCode::NotReady:
+    case ResultCode::NotLeader:
+    case ResultCode::ControlUnavailable:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+std::string generateCommandId()
+{
+    std::random_device random;
+    std::array<char, 64> text;
+    std::snprintf(
+        text.data(), text.size(), "ctl-%lld-%08x%08x", static_cast<long long>(wallClock().value()), random(), random());
+    return text.data();
+}
+
+StatementRunner::StatementRunner(RunOptions options)
+    : m_options(std::move(options))
+{
+}
+
+std::string StatementRunner::requestBody(const Statement& statement) const
+{
+    nlohmann::ordered_json json { { "statement", printStatement(statement) } };
+    if (isChange(statement)) {
+        const std::string commandId = m_options.m_commandId.value_or(generateCommandId());
+        std::fprintf(stderr, "command id: %s\n", commandId.c_str());
+        json["command_id"] = commandId;
+        if (m_options.m_expectedVersion)
+            json["expected_version"] = *m_options.m_expectedVersion;
+    }
+    return json.dump();
+}
+
+Answer StatementRunner::run(const Statement& statement)
+{
+    const MonotonicTime deadline = std::chrono::steady_clock::now() + m_options.m_timeout;
+    const std::string body = requestBody(statement);
+    std::optional<Answer> refusal;
+    m_mayHaveRun = false;
+    m_lastError.clear();
+    do {
+        for (std::size_t i = 0; i < m_options.m_servers.size(); ++i) {
+            const std::size_t index = (m_server + i) % m_options.m_servers.size();
+            auto answer = tryServer(m_options.m_servers[index], statement, body, deadline);
+            if (!answer)
+                continue;
+            if (concernsThisDaemonAlone(answer->m_code)) {
+                refusal = std::move(answer);
+                continue;
+            }
+            m_server = index;
+            if (answer->m_code != 0 || !isChange(statement) || !m_options.m_wait)
+                return std::move(*answer);
+            return waitInForce(std::move(*answer), deadline);
+        }
+        // A change whose outcome is open is sent again under its command id, which settles the outcome.
+        if (!m_mayHaveRun || !isChange(statement))
+            break;
+        std::this_thread::sleep_for(resendPause);
+    } while (std::chrono::steady_clock::now() < deadline);
+    // A refusal by one daemon does not tell whether the attempt at another was run.
+    if (m_mayHaveRun && isChange(statement)) {
+        return localAnswer(ResultCode::CommandOutcomeUnknown,
+            m_lastError + "; resend with the same command id (--command-id) to learn the outcome");
+    }
+    if (m_mayHaveRun)
+        return localAnswer(ResultCode::OutcomeUnknown, m_lastError);
+    if (refusal)
+        return std::move(*refusal);
+    return localAnswer(ResultCode::ControlUnavailable, "no server could be reached: " + m_lastError);
+}
+
+/** Returns the answer, or nothing if the next server may be tried. */
+std::optional<Answer> StatementRunner::tryServer(
+    const std::string& server, const Statement& statement, const std::string& body, MonotonicTime deadline)
+{
+    const ExchangeResult result = exchange(server, "POST", "/v1/statement", body, deadline);
+    if (result.m_outcome == ExchangeOutcome::NotSent) {
+        m_lastError = server + ": " + result.m_text;
+        return std::nullopt;
+    }
+    if (result.m_outcome == ExchangeOutcome::Answered) {
+        auto answer = parseAnswer(result.m_body);
+        if (answer && answer->m_code != static_cast<int>(ResultCode::CommandOutcomeUnknown))
+            return answer;
+        m_lastError = server + ": "
+            + (answer ? answer->m_text : "HTTP status " + std::to_string(result.m_status) + " without a result code");
+    } else {
+        m_lastError = server + ": " + result.m_text;
+    }
+    m_mayHaveRun = true;
+    std::fprintf(stderr, "%s\n", m_lastError.c_str());
+    if (std::holds_alternative<SendStatement>(statement)) {
+        const std::string id = std::get<SendStatement>(statement).m_request.value();
+        return localAnswer(ResultCode::OutcomeUnknown,
+            m_lastError + "; it may have run; a resend under request id '" + id + "' gives the recorded result");
+    }
+    return std::nullopt;
+}
+
+Answer StatementRunner::waitInForce(Answer answer, MonotonicTime deadline)
+{
+    const std::string target = "/v1/commands/" + std::to_string(answer.m_revision) + "?wait_ms=";
+    std::string shown;
+    while (!answer.m_inForce && answer.m_revision != 0) {
+        const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - std::chrono::steady_clock::now());
+        if (remaining.count() <= 0) {
+            return localAnswer(ResultCode::StillRunning,
+                "accepted at revision " + std::to_string(answer.m_revision) + ", but not yet in force everywhere"
+                    + (shown.empty() ? "" : " (" + shown + ")"));
+        }
+        const Milliseconds wait = std::min(remaining, longestPoll);
+        const ExchangeResult result = exchange(m_options.m_servers[m_server], "GET",
+            target + std::to_string(wait.count()), "", std::chrono::steady_clock::now() + wait + pollMargin);
+        const auto status = result.m_outcome == ExchangeOutcome::Answered ? parseAnswer(result.m_body) : std::nullopt;
+        if (!status || status->m_code != 0) {
+            std::fprintf(stderr, "%s: %s\n", m_options.m_servers[m_server].c_str(),
+                status ? status->m_text.c_str() : result.m_text.c_str());
+            m_server = (m_server + 1) % m_options.m_servers.size();
+            std::this_thread::sleep_for(std::min(resendPause, remaining));
+            continue;
+        }
+        answer.m_inForce = status->m_inForce;
+        answer.m_holdersConfirmed = status->m_holdersConfirmed;
+        answer.m_holdersTotal = status->m_holdersTotal;
+        answer.m_body["in_force"] = status->m_inForce;
+        answer.m_body["holders_confirmed"] = status->m_holdersConfirmed;
+        answer.m_body["holders_total"] = status->m_holdersTotal;
+        std::string progress = "confirmed by " + std::to_string(status->m_holdersConfirmed) + " of "
+            + std::to_string(status->m_holdersTotal) + " VMs";
+        if (progress != shown)
+            std::fprintf(stderr, "%s\n", progress.c_str());
+        shown = std::move(progress);
+    }
+    return answer;
+}
+
+} // namespace flamingo::ctl
