Match flamingoctl and the stub endpoint to the HTTP interface

The HTTP server reads the statement from 'text', answers 'holders' as an object and refuses fields that it does not know, so that renewals with a whole record would be refused and each renewal would become a registration.

--- a/bench/endpoint/announcer.cpp
+++ b/bench/endpoint/announcer.cpp
@@ -242,10 +242,14 @@
     const StubEndpoint& stub = entry.m_endpoint->stub();
     const EndpointRecord& record = stub.m_record;
     nlohmann::json json { { "action", names[static_cast<int>(entry.m_action)] }, { "id", record.m_id.value() },
-        { "service", record.m_service.value() }, { "address", record.m_address }, { "port", record.m_port },
-        { "data_centre", record.m_dataCentre.value() }, { "incarnation", record.m_incarnation.value() },
-        { "slots", record.m_slots }, { "connections", record.m_connections } };
+        { "incarnation", record.m_incarnation.value() } };
     if (entry.m_action == Action::Register) {
+        json["service"] = record.m_service.value();
+        json["address"] = record.m_address;
+        json["port"] = record.m_port;
+        json["data_centre"] = record.m_dataCentre.value();
+        json["slots"] = record.m_slots;
+        json["connections"] = record.m_connections;
         json["holdings"] = nlohmann::json::array();
         for (const ShardHolding& holding : record.m_holdings) {
             json["holdings"].push_back({ { "snapshot", holding.m_version.value() },
--- a/src/flamingoctl/answer.cpp
+++ b/src/flamingoctl/answer.cpp
@@ -17,8 +17,9 @@
         answer.m_text = json.value("text", "");
         answer.m_revision = json.value("revision", std::uint64_t(0));
         answer.m_inForce = json.value("in_force", false);
-        answer.m_holdersConfirmed = json.value("holders_confirmed", 0U);
-        answer.m_holdersTotal = json.value("holders_total", 0U);
+        const Json holders = json.value("holders", Json::object());
+        answer.m_holdersConfirmed = holders.value("confirmed", 0U);
+        answer.m_holdersTotal = holders.value("total", 0U);
     } catch (const Json::exception&) {
         return std::nullopt;
     }
--- a/src/flamingoctl/statementrunner.cpp
+++ b/src/flamingoctl/statementrunner.cpp
@@ -52,7 +52,7 @@
 
 std::string StatementRunner::requestBody(const Statement& statement) const
 {
-    nlohmann::ordered_json json { { "statement", printStatement(statement) } };
+    nlohmann::ordered_json json { { "text", printStatement(statement) } };
     if (isChange(statement)) {
         const std::string commandId = m_options.m_commandId.value_or(generateCommandId());
         std::fprintf(stderr, "command id: %s\n", commandId.c_str());
@@ -156,8 +156,7 @@
         answer.m_holdersConfirmed = status->m_holdersConfirmed;
         answer.m_holdersTotal = status->m_holdersTotal;
         answer.m_body["in_force"] = status->m_inForce;
-        answer.m_body["holders_confirmed"] = status->m_holdersConfirmed;
-        answer.m_body["holders_total"] = status->m_holdersTotal;
+        answer.m_body["holders"] = { { "confirmed", status->m_holdersConfirmed }, { "total", status->m_holdersTotal } };
         std::string progress = "confirmed by " + std::to_string(status->m_holdersConfirmed) + " of "
             + std::to_string(status->m_holdersTotal) + " VMs";
         if (progress != shown)
--- a/src/flamingoctl/tablewriter.cpp
+++ b/src/flamingoctl/tablewriter.cpp
@@ -91,8 +91,10 @@
     for (const auto& field : answer.items()) {
         const std::string& key = field.key();
         const bool isShown = key == "rows" || key == "code" || key == "name" || (key == "text" && code != 0);
-        if (!isShown && !(key == "text" && cell(field.value()).empty()))
-            text += key + ": " + cell(field.value()) + "\n";
+        const std::string value = isShown ? "" : cell(field.value());
+        const bool isUnset = value.empty() || (key == "retry_after_ms" && value == "0");
+        if (!isShown && !isUnset)
+            text += key + ": " + value + "\n";
     }
     return text;
 }
--- a/tests/flamingoctl/flamingoctl.cpp
+++ b/tests/flamingoctl/flamingoctl.cpp
@@ -86,7 +86,7 @@
 
 std::string ok(const std::string& fields = "")
 {
-    return R"({"code":0,"name":"Ok","text":"","revision":7,"version":3)" + fields + "}";
+    return R"({"code":0,"name":"Ok","text":"","revision":7,"configuration_version":3)" + fields + "}";
 }
 
 } // namespace
@@ -99,8 +99,8 @@
         if (target == "/v1/statement")
             return ok(R"(,"in_force":false)");
         ++polls;
-        return ok(R"(,"in_force":)" + std::string(polls == 3 ? "true" : "false") + R"(,"holders_confirmed":)"
-            + std::to_string(polls) + R"(,"holders_total":3)");
+        return ok(R"(,"in_force":)" + std::string(polls == 3 ? "true" : "false") + R"(,"holders":{"confirmed":)"
+            + std::to_string(polls) + R"(,"total":3})");
     });
     const Result result = ctl(daemon.option() + " --command-id=c1 --expect-version=2 'drop service verses'");
     CHECK(result.m_status == 0);
@@ -109,7 +109,7 @@
     CHECK(has(result, "in_force: true"));
     REQUIRE(daemon.m_statements.size() == 1);
     CHECK(daemon.m_statements[0]
-        == Json({ { "statement", "DROP SERVICE verses" }, { "command_id", "c1" }, { "expected_version", 2 } }));
+        == Json({ { "text", "DROP SERVICE verses" }, { "command_id", "c1" }, { "expected_version", 2 } }));
     CHECK(daemon.m_targets.at(1).rfind("/v1/commands/7?wait_ms=", 0) == 0);
 
     const Result noWait = ctl(daemon.option() + " --no-wait 'DROP SERVICE verses'");
@@ -121,7 +121,7 @@
 TEST_CASE("A change that is not in force in time has an open outcome")
 {
     FakeDaemon daemon([](const std::string&, const Json&, unsigned&) {
-        return ok(R"(,"in_force":false,"holders_confirmed":1,"holders_total":2)");
+        return ok(R"(,"in_force":false,"holders":{"confirmed":1,"total":2})");
     });
     const Result result = ctl(daemon.option() + " --timeout=0.5 'DROP SERVICE verses'");
     CHECK(result.m_status == 4);
