Answer queries end to end through real daemons

Cause: the slices had no process to run in; a query could not be answered. Change: flamingod with control loop and query loop, statement execution, announcements, metrics, graceful shutdown; execution of declared request kinds; quickstart script, which is also a test.

--- /dev/null
+++ b/src/libflamingo/daemon/controlport.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "control/controlclient.h"
+
+#include <functional>
+#include <memory>
+
+namespace flamingo {
+
+/**
+ * What other threads of a daemon may ask of the control loop. All functions are thread-safe and return
+ * at once; handlers are called on the control loop and must not block.
+ */
+struct ControlPort {
+    std::function<void(Command, Milliseconds timeout, CommandHandler)> m_submit;
+    std::function<void(Revision, Milliseconds timeout, StatusHandler)> m_queryStatus;
+    std::function<void(AdminRequest, Milliseconds timeout, AdminHandler)> m_administer;
+    std::function<void(EndpointId)> m_noteRenewal;
+    std::shared_ptr<const LeaseView> m_lease;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -0,0 +1,184 @@
+#include "daemon/daemon.h"
+
+#include "base/log.h"
+#include "consensus/consensusmember.h"
+#include "control/controlservice.h"
+
+#include <random>
+
+namespace flamingo {
+
+namespace {
+
+constexpr Milliseconds leaveTimeout { 2000 };
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+std::vector<InitialMember> initialMembers(const ControlSettings& control)
+{
+    std::vector<InitialMember> members;
+    for (const ControlMember& member : control.m_members)
+        members.push_back(InitialMember { member.m_vm, member.m_address.text() });
+    return members;
+}
+
+std::string ownControlAddress(const Settings& settings)
+{
+    for (const ControlMember& member : settings.m_control.m_members) {
+        if (member.m_vm == settings.m_vm)
+            return member.m_address.text();
+    }
+    return settings.m_control.m_listen.text();
+}
+
+} // namespace
+
+Daemon::Daemon(Settings settings, std::function<void(const Reason&)> failed)
+    : m_settings(std::move(settings))
+    , m_failed(std::move(failed))
+    , m_incarnation(randomNumber())
+{
+}
+
+Daemon::~Daemon()
+{
+    if (m_api)
+        m_api->stop();
+    m_control.stop();
+    if (m_entry)
+        m_entry->stop();
+}
+
+bool Daemon::start(Reason& reason)
+{
+    if (m_settings.m_controlRole && !startControl(reason))
+        return false;
+    if (m_settings.m_entryRole)
+        return startEntry(reason);
+    m_control.run();
+    return true;
+}
+
+bool Daemon::startControl(Reason& reason)
+{
+    ControlRoleSettings role;
+    role.m_listenAddress = m_settings.m_control.m_listen.m_ip;
+    role.m_listenPort = m_settings.m_control.m_listen.m_port;
+    role.m_member.m_folder = m_settings.m_control.m_dataFolder;
+    role.m_member.m_vm = m_settings.m_vm;
+    role.m_member.m_address = ownControlAddress(m_settings);
+    role.m_member.m_initialMembers = initialMembers(m_settings.m_control);
+    role.m_member.m_bootstrapAllowed = m_settings.m_control.m_bootstrap;
+    role.m_member.m_seed = randomNumber();
+    return m_control.addControlRole(std::move(role), m_failed, reason);
+}
+
+bool Daemon::startEntry(Reason& reason)
+{
+    ControlClientSettings client;
+    client.m_vm = m_settings.m_vm;
+    client.m_incarnation = Incarnation(m_incarnation);
+    client.m_dataCentre = m_settings.m_dataCentre;
+    client.m_address = SocketAddress { m_settings.m_entry.m_listen, m_settings.m_entry.m_port }.text();
+    for (const SocketAddress& address : m_settings.m_controlAddresses)
+        client.m_controlAddresses.push_back(address.text());
+    m_control.addEntryLink(std::move(client),
+        [this](std::shared_ptr<const PublishedState> state) { m_entry->takeState(std::move(state)); });
+
+    EntryLoopSettings loop;
+    loop.m_vm = m_settings.m_vm;
+    loop.m_dataCentre = m_settings.m_dataCentre;
+    for (const auto& [name, weight] : m_settings.m_entry.m_callerClasses)
+        loop.m_classWeights[name] = weight;
+    m_entry = std::make_unique<EntryLoop>(std::move(loop), m_control.port(), m_metrics);
+    m_statements = std::make_unique<StatementExecutor>(*m_entry, m_control.port());
+    m_announcer = std::make_unique<Announcer>(*m_entry, m_control.port());
+
+    ApiSettings api;
+    api.m_address = m_settings.m_entry.m_listen;
+    api.m_port = m_settings.m_entry.m_port;
+    api.m_maxBodyBytes = m_settings.m_entry.m_maxBody;
+    api.m_maxConnections = m_settings.m_entry.m_maxConnections;
+    api.m_stopTimeout = m_settings.m_shutdownGrace;
+    m_api = std::make_unique<ApiServer>(std::move(api), handlers());
+    m_entry->run();
+    m_control.run();
+    return m_api->start(reason);
+}
+
+std::optional<Reason> Daemon::refusalWithoutLease() const
+{
+    if (m_control.port().m_lease->valid(std::chrono::steady_clock::now()) && m_entry->state())
+        return std::nullopt;
+    return Reason { ResultCode::NoLease, "this VM holds no valid lease, so its configuration may be out of date" };
+}
+
+ApiHandlers Daemon::handlers()
+{
+    ApiHandlers handlers;
+    handlers.m_query = [this](QueryRequest request) {
+        if (const auto refusal = refusalWithoutLease()) {
+            QueryAnswer answer;
+            answer.m_code = refusal->m_code;
+            answer.m_text = refusal->m_text;
+            answer.m_id = request.m_id;
+            return answer;
+        }
+        return m_entry->query(std::move(request));
+    };
+    handlers.m_request = [this](CallerRequest request) {
+        if (const auto refusal = refusalWithoutLease()) {
+            CallerAnswer answer;
+            answer.m_code = refusal->m_code;
+            answer.m_text = refusal->m_text;
+            answer.m_id = request.m_id;
+            return answer;
+        }
+        return m_entry->request(std::move(request));
+    };
+    handlers.m_announce = [this](const Announcement& announcement) { return m_announcer->announce(announcement); };
+    handlers.m_statement = [this](const StatementRequest& request) { return m_statements->execute(request); };
+    handlers.m_commandStatus = [this](const CommandStatusRequest& request) { return m_statements->status(request); };
+    handlers.m_health = [this] { return health(); };
+    handlers.m_metrics = [this] { return metrics(); };
+    return handlers;
+}
+
+HealthAnswer Daemon::health() const
+{
+    if (m_stopping)
+        return { false, "shutting down" };
+    if (const auto refusal = refusalWithoutLease())
+        return { false, refusal->m_text };
+    return { true, "serving" };
+}
+
+std::string Daemon::metrics()
+{
+    m_entry->collectMetrics();
+    m_control.withRole([this](ControlRole& role) { m_metrics.recordControl(role.member(), role.service()); });
+    return m_metrics.text();
+}
+
+void Daemon::shutDown()
+{
+    m_stopping = true;
+    logEvent(LogLevel::Info, "graceful shutdown started");
+    if (m_api) {
+        m_api->beginShutdown();
+        if (!m_api->stop())
+            logEvent(LogLevel::Warning, "the grace period ended with requests in flight");
+        // The lease is kept until here: requests in flight send to endpoints under it.
+        m_control.leave(leaveTimeout);
+    }
+    m_control.stop();
+    if (m_entry)
+        m_entry->stop();
+    logEvent(LogLevel::Info, "graceful shutdown finished");
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/entryloop.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "daemon/queryrunner.h"
+#include "daemon/requestrunner.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <thread>
+
+namespace flamingo {
+
+/**
+ * The query loop of a daemon with its thread: queries, requests, routing and the connections to endpoints.
+ *
+ * Thread safety: run() and stop() from one thread; the other methods from any other thread than the loop's.
+ */
+class EntryLoop {
+public:
+    /** The control port must outlive the loop. */
+    EntryLoop(EntryLoopSettings settings, const ControlPort& control, EntryMetrics& metrics);
+    ~EntryLoop();
+    EntryLoop(const EntryLoop&) = delete;
+    EntryLoop& operator=(const EntryLoop&) = delete;
+
+    /** Starts the thread. */
+    void run();
+    /** Stops the loop and joins the thread. Precondition: nothing calls query(), request() or takeState() any more. */
+    void stop();
+
+    /** Takes over a new published state; returns when all new work uses it. */
+    void takeState(std::shared_ptr<const PublishedState> state);
+    /** Returns the state taken over last; null before the first one. */
+    std::shared_ptr<const PublishedState> state() const;
+
+    /** Runs a query and returns its answer. Precondition: the loop runs. */
+    QueryAnswer query(QueryRequest request);
+    /** Runs a request of a declared kind and returns its answer. Precondition: the loop runs. */
+    CallerAnswer request(CallerRequest request);
+
+    /** Copies the endpoint client's counters into the metrics. Precondition: the loop runs. */
+    void collectMetrics();
+
+private:
+    template <typename Work> void runOnLoop(Work work);
+    void applyState(std::shared_ptr<const PublishedState> state);
+    void updateConnections();
+    void scheduleTick();
+    void tick();
+
+    EntryLoopSettings m_settings;
+    const ControlPort& m_control;
+    EntryMetrics& m_metrics;
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::steady_timer m_ticker;
+    std::unique_ptr<EndpointClient> m_client;
+    LoopState m_loop;
+    QueryRunner m_queries;
+    RequestRunner m_requests;
+    std::shared_ptr<const PublishedState> m_published; // read and written with std::atomic_load and std::atomic_store
+    std::map<EndpointId, Incarnation> m_connected; // endpoints with limits set at the client
+    bool m_leaseWasValid = false;
+    std::thread m_thread;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/entrymetrics.cpp
@@ -0,0 +1,119 @@
+#include "daemon/entrymetrics.h"
+
+#include "consensus/consensusmember.h"
+#include "control/controlservice.h"
+#include "endpoint/endpointcounters.h"
+#include "metrics/callermetrics.h"
+#include "routing/routingstate.h"
+
+namespace flamingo {
+
+namespace {
+
+// Callers may name any class, so the cache of handles is bounded as the labels are.
+constexpr std::size_t maximumKnown = maxCallerClassLabels * maxServiceLabels;
+
+double seconds(Microseconds time) { return std::chrono::duration<double>(time).count(); }
+
+} // namespace
+
+EntryMetrics::EntryMetrics()
+    : m_table(m_registry)
+{
+}
+
+CallerMetrics& EntryMetrics::find(const ServiceName& service, const CallerClass& callerClass)
+{
+    const auto known = m_known.find({ service, callerClass });
+    if (known != m_known.end())
+        return *known->second;
+    CallerMetrics& metrics = m_table.find(service, callerClass);
+    if (m_known.size() < maximumKnown)
+        m_known[{ service, callerClass }] = &metrics;
+    return metrics;
+}
+
+void EntryMetrics::recordQuery(
+    const ServiceName& service, const CallerClass& callerClass, const QueryAnswer& answer, Microseconds elapsed)
+{
+    QueryMeasurement measurement;
+    measurement.m_code = answer.m_code;
+    measurement.m_seconds = seconds(elapsed);
+    measurement.m_coverage = answer.m_coverage;
+    measurement.m_endpointRequests = answer.m_endpointRequests;
+    measurement.m_shards = answer.m_shardsTotal;
+    find(service, callerClass).recordQuery(measurement);
+}
+
+void EntryMetrics::recordRequest(
+    const ServiceName& service, const CallerClass& callerClass, ResultCode code, Microseconds elapsed)
+{
+    find(service, callerClass).recordRequest(code, seconds(elapsed));
+}
+
+void EntryMetrics::recordEarlyRefusal(ResultCode code)
+{
+    m_registry
+        .counter("flamingo_early_refusals_total", "Queries and requests refused before they were admitted.",
+            { { "code", std::string(resultCodeName(code)) } })
+        .add();
+}
+
+void EntryMetrics::set(const char* name, const char* help, double value, const MetricLabels& labels)
+{
+    m_registry.gauge(name, help, labels).set(value);
+}
+
+void EntryMetrics::recordLoop(const RoutingState& routing, const EndpointClientCounters& counters)
+{
+    set("flamingo_state_revision", "Revision of the published state in use.",
+        double(routing.m_table.m_revision.value()));
+    set("flamingo_configuration_version", "Configuration version in use.",
+        double(routing.m_table.m_configurationVersion.value()));
+    set("flamingo_endpoint_connections", "Open connections to endpoints.", double(counters.m_connectionsOpen));
+    set("flamingo_endpoint_connections_opened", "Connections to endpoints opened since the start.",
+        double(counters.m_connectionsOpened));
+    set("flamingo_endpoint_connections_lost", "Connections closed or reset by endpoints.",
+        double(counters.m_connectionsLost));
+    set("flamingo_endpoint_connections_retired", "Connections closed because an answer was overdue.",
+        double(counters.m_connectionsRetired));
+    set("flamingo_endpoint_calls_in_flight", "Calls to endpoints that are not finished.",
+        double(counters.m_callsInFlight));
+    for (const auto& [name, service] : routing.m_services) {
+        const MetricLabels labels { { "service", name.value() } };
+        const RoutingCounters& counts = service.m_counters;
+        set("flamingo_first_attempts", "Endpoint requests that were first attempts.", double(counts.m_firstAttempts),
+            labels);
+        set("flamingo_hedges", "Endpoint requests sent as hedges.", double(counts.m_hedges), labels);
+        set("flamingo_retries", "Endpoint requests sent as retries.", double(counts.m_retries), labels);
+        set("flamingo_dropped_replies", "Answers that were late or did not match their call.",
+            double(counts.m_droppedReplies), labels);
+        set("flamingo_malformed_replies", "Answers with a malformed body.", double(counts.m_malformedReplies), labels);
+        set("flamingo_shed_replies", "Requests that endpoints refused.", double(counts.m_shed), labels);
+        set("flamingo_snapshot_restarts", "Queries started again on another snapshot.", double(counts.m_restarts),
+            labels);
+        set("flamingo_suspected_deaths", "Suspected endpoint deaths reported.", double(counts.m_deaths), labels);
+    }
+}
+
+void EntryMetrics::recordControl(const ConsensusMember& member, const ControlService& service)
+{
+    const ControlServiceCounters& counts = service.counters();
+    set("flamingo_control_leads", "1 while this VM leads the control group.", member.role() == Role::Leader ? 1 : 0);
+    set("flamingo_control_term", "Term of the replicated log.", double(member.term().value()));
+    set("flamingo_control_applied_index", "Index of the last applied log entry.",
+        double(member.appliedIndex().value()));
+    set("flamingo_control_applied_entries", "Log entries applied since the start.", double(counts.m_applied));
+    set("flamingo_control_renewals", "Lease renewals received.", double(counts.m_renewals));
+    set("flamingo_control_endpoint_renewals", "Endpoint renewals received.", double(counts.m_endpointRenewals));
+    set("flamingo_control_grants", "Leases granted.", double(counts.m_grants));
+    set("flamingo_control_deltas", "Deltas sent to entry VMs.", double(counts.m_deltas));
+    set("flamingo_control_full_copies", "Full copies sent to entry VMs.", double(counts.m_fullCopies));
+    set("flamingo_control_state_bytes_sent", "Bytes of deltas and full copies sent.", double(counts.m_stateBytesSent));
+    set("flamingo_control_commands_refused", "Commands refused by the leader.", double(counts.m_commandsRefused));
+    set("flamingo_control_endpoints_expired", "Endpoints removed because their renewals stopped.",
+        double(counts.m_endpointsExpired));
+    set("flamingo_control_vms_departed", "VMs whose lease ended.", double(counts.m_vmsDeparted));
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/queryrunner.cpp
@@ -0,0 +1,189 @@
+#include "daemon/queryrunner.h"
+
+#include "base/log.h"
+#include "endpoint/endpointclient.h"
+
+#include <boost/asio/post.hpp>
+
+namespace flamingo {
+
+namespace {
+
+MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
+
+QueryAnswer refusal(const QueryRequest& request, const Reason& reason)
+{
+    QueryAnswer answer;
+    answer.m_code = reason.m_code;
+    answer.m_text = reason.m_text;
+    answer.m_id = request.m_id;
+    return answer;
+}
+
+} // namespace
+
+Admission& serviceAdmission(LoopState& loop, const EntryLoopSettings& settings, const ServiceName& service)
+{
+    const auto found = loop.m_admission.find(service);
+    if (found != loop.m_admission.end())
+        return found->second;
+    Admission& admission = loop.m_admission[service] = makeAdmission(AdmissionSettings {});
+    for (const auto& [callerClass, weight] : settings.m_classWeights)
+        setClassWeight(admission, callerClass, weight);
+    return admission;
+}
+
+QueryRunner::QueryRunner(boost::asio::io_context& io, EndpointClient& client, LoopState& loop,
+    const EntryLoopSettings& settings, const ControlPort& control, EntryMetrics& metrics)
+    : m_io(io)
+    , m_client(client)
+    , m_loop(loop)
+    , m_settings(settings)
+    , m_control(control)
+    , m_metrics(metrics)
+{
+}
+
+QueryRunner::~QueryRunner() = default;
+
+void QueryRunner::start(QueryRequest request, AnswerHandler handler)
+{
+    const MonotonicTime now = clockNow();
+    Reason reason;
+    if (findService(m_loop.m_routing.m_table, request.m_service) == nullptr) {
+        reason = Reason { ResultCode::UnknownService, "unknown service " + request.m_service.value() };
+        handler(refusal(request, reason));
+        return;
+    }
+    Admission& admission = serviceAdmission(m_loop, m_settings, request.m_service);
+    const auto countedIn = admitExecution(admission, request.m_callerClass, now, reason);
+    if (!countedIn) {
+        QueryAnswer answer = refusal(request, reason);
+        answer.m_retryAfter = admission.m_settings.m_retryAfter;
+        handler(std::move(answer));
+        return;
+    }
+    auto running = std::make_shared<Running>(m_io);
+    const ExecutionId id(++m_lastExecution);
+    running->m_execution = makeQueryExecution(id, std::move(request));
+    running->m_handler = std::move(handler);
+    running->m_countedIn = *countedIn;
+    running->m_startedAt = now;
+    m_running[id] = running;
+    step(running, QueryStarted {});
+}
+
+void QueryRunner::stateChanged()
+{
+    // Executions may finish meanwhile.
+    std::vector<RunningPtr> all;
+    all.reserve(m_running.size());
+    for (const auto& [id, running] : m_running)
+        all.push_back(running);
+    for (const RunningPtr& running : all)
+        step(running, StateChanged {});
+}
+
+void QueryRunner::wake(ExecutionId execution, EndpointIndex endpoint)
+{
+    const auto found = m_running.find(execution);
+    if (found != m_running.end())
+        step(RunningPtr(found->second), CapacityFreed { endpoint });
+}
+
+void QueryRunner::step(const RunningPtr& running, QueryEvent event)
+{
+    if (running->m_execution.m_phase == QueryPhase::Finished)
+        return;
+    const MonotonicTime now = clockNow();
+    QueryContext context { m_loop.m_routing, m_loop.m_fingerprints, m_loop.m_random, m_querySettings,
+        m_control.m_lease->valid(now) };
+    carryOut(running, stepQuery(running->m_execution, std::move(event), context, now));
+}
+
+void QueryRunner::carryOut(const RunningPtr& running, QueryEffects effects)
+{
+    for (QueryEffect& effect : effects) {
+        if (auto* call = std::get_if<SendCall>(&effect)) {
+            send(running, std::move(*call));
+        } else if (const auto* cancel = std::get_if<CancelCall>(&effect)) {
+            const auto handle = running->m_calls.find(cancel->m_attempt);
+            if (handle != running->m_calls.end())
+                m_client.cancel(handle->second);
+        } else if (const auto* timer = std::get_if<SetTimer>(&effect)) {
+            setTimer(running, timer->m_at);
+        } else if (auto* finished = std::get_if<FinishQuery>(&effect)) {
+            finish(running, std::move(finished->m_answer));
+        } else if (auto* report = std::get_if<ReportDeath>(&effect)) {
+            reportDeath(running, std::move(*report));
+        } else if (const auto* success = std::get_if<MarkSuccess>(&effect)) {
+            Command command;
+            command.m_body = ClearSuspect { success->m_fingerprint };
+            m_control.m_submit(std::move(command), m_settings.m_commandTimeout, nullptr);
+        } else if (const auto* other = std::get_if<WakeExecution>(&effect)) {
+            wake(other->m_execution, other->m_endpoint);
+        }
+    }
+}
+
+void QueryRunner::send(const RunningPtr& running, SendCall effect)
+{
+    const AttemptNumber attempt = effect.m_call.m_attempt;
+    const auto handler = [this, running, attempt](EndpointReply reply) {
+        running->m_calls.erase(attempt);
+        step(running, CallReplied { attempt, std::move(reply) });
+    };
+    running->m_calls[attempt] = m_client.start(std::move(effect.m_call), handler);
+}
+
+void QueryRunner::setTimer(const RunningPtr& running, MonotonicTime at)
+{
+    running->m_timer.expires_at(at);
+    running->m_timer.async_wait([this, running](const boost::system::error_code& error) {
+        if (!error)
+            step(running, TimerExpired {});
+    });
+}
+
+void QueryRunner::finish(const RunningPtr& running, QueryAnswer answer)
+{
+    running->m_timer.cancel();
+    const MonotonicTime now = clockNow();
+    const auto elapsed = std::chrono::duration_cast<Microseconds>(now - running->m_startedAt);
+    const QueryRequest& request = running->m_execution.m_request;
+    endExecution(serviceAdmission(m_loop, m_settings, request.m_service), running->m_countedIn,
+        running->m_execution.m_longestWait, elapsed, now);
+    m_metrics.recordQuery(request.m_service, running->m_countedIn, answer, elapsed);
+    m_running.erase(running->m_execution.m_id);
+    running->m_handler(std::move(answer));
+}
+
+void QueryRunner::reportDeath(const RunningPtr& running, ReportDeath report)
+{
+    logEvent(LogLevel::Warning, "endpoint closed a connection that owed an answer",
+        { { "endpoint", report.m_endpoint.value() }, { "service", report.m_service.value() },
+            { "request_id", running->m_execution.m_request.m_id.value() } });
+    const Fingerprint fingerprint = running->m_execution.m_fingerprint;
+    const ExecutionId execution = running->m_execution.m_id;
+    Command command;
+    command.m_body = std::move(report);
+    m_control.m_submit(
+        std::move(command), m_settings.m_commandTimeout, [this, execution, fingerprint](CommandResult result) {
+            boost::asio::post(m_io, [this, execution, fingerprint, result = std::move(result)] {
+                takeDecision(execution, fingerprint, result);
+            });
+        });
+}
+
+void QueryRunner::takeDecision(ExecutionId execution, Fingerprint fingerprint, const CommandResult& result)
+{
+    // Without an applied report the decision stays open until the memory's patience ends.
+    if (result.m_code != ResultCode::Ok)
+        return;
+    noteReportApplied(m_loop.m_fingerprints, fingerprint);
+    const auto found = m_running.find(execution);
+    if (found != m_running.end())
+        step(RunningPtr(found->second), QuarantineDecided { !result.m_text.empty() });
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/statementexecutor.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "api/commandstatusanswer.h"
+#include "api/commandstatusrequest.h"
+#include "api/statementanswer.h"
+#include "api/statementrequest.h"
+#include "control/messages.h"
+#include "language/statement.h"
+
+namespace flamingo {
+
+class EntryLoop;
+struct ControlPort;
+
+/**
+ * Runs statements of the query and command language on an entry VM.
+ *
+ * Thread safety: any thread may call any method; the methods block. The references outlive the object.
+ */
+class StatementExecutor {
+public:
+    StatementExecutor(EntryLoop& entry, const ControlPort& control);
+
+    /** Parses and runs one statement. A change gets a random command id if the request has none. */
+    StatementAnswer execute(const StatementRequest& request);
+
+    /** Returns how far a revision has spread, after waiting for "in force" as long as asked. */
+    CommandStatusAnswer status(const CommandStatusRequest& request);
+
+private:
+    StatementAnswer change(Command command, Milliseconds wait);
+    StatementAnswer administer(AdminRequest request);
+    StatementAnswer show(const ShowStatement& statement);
+    StatementAnswer query(const QueryStatement& statement);
+    StatementAnswer send(const SendStatement& statement);
+    void suggestName(const CommandBody& body, StatementAnswer& answer) const;
+
+    EntryLoop& m_entry;
+    const ControlPort& m_control;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/tools/install-packages.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Installs the Debian packages that building, checking and testing need, unless they are there already.
+set -euo pipefail
+
+packages="g++ gcc cmake ninja-build clang-format clang-tidy ccache
+    libulfius-dev libwebsocketpp-dev libdocopt-dev librapidcheck-dev libyaml-cpp-dev
+    nlohmann-json3-dev rapidjson-dev catch2 libboost-log-dev libboost-dev libxxhash-dev spin"
+
+# shellcheck disable=SC2086
+if ! dpkg -s $packages > /dev/null 2>&1; then
+    apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $packages
+fi
