--- a/src/libflamingo/base/cborcheck.cpp
+++ b/src/libflamingo/base/cborcheck.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 enum MajorType : unsigned {
-    kBytes = 2,
-    kText = 3,
-    kArray = 4,
-    kMap = 5,
-    kTag = 6,
+    Bytes = 2,
+    Text = 3,
+    Array = 4,
+    Map = 5,
+    Tag = 6,
 };
 
 /** Reads the argument of an item's head; returns false if it is indefinite, reserved or cut off. */
@@ -53,16 +53,16 @@
         const auto head = static_cast<unsigned char>(bytes[position++]);
         const unsigned major = head >> 5U;
         std::uint64_t argument = 0;
-        if (major == kTag || !readArgument(bytes, position, head & 0x1fU, argument))
+        if (major == Tag || !readArgument(bytes, position, head & 0x1fU, argument))
             return false;
-        if (major == kBytes || major == kText) {
+        if (major == Bytes || major == Text) {
             if (argument > bytes.size() - position)
                 return false;
             position += static_cast<std::size_t>(argument);
-        } else if (major == kArray || major == kMap) {
+        } else if (major == Array || major == Map) {
             if (argument > bytes.size() || remaining.size() > maxDepth)
                 return false;
-            remaining.push_back(major == kMap ? 2 * argument : argument);
+            remaining.push_back(major == Map ? 2 * argument : argument);
         }
     }
     return position == bytes.size();
--- a/src/libflamingo/consensus/logsegment.cpp
+++ b/src/libflamingo/consensus/logsegment.cpp
@@ -17,9 +17,9 @@
 constexpr std::size_t kMaxPayload = std::size_t(16) << 20U;
 
 enum RecordKind : char {
-    kNoop = 0,
-    kConfiguration = 1,
-    kApplication = 2,
+    NoopRecord = 0,
+    ConfigurationRecord = 1,
+    ApplicationRecord = 2,
 };
 
 struct Record {
@@ -54,16 +54,16 @@
     entry.m_term = Term(numberAt(record.m_payload, kNumber, kNumber));
     const std::string_view body = record.m_payload.substr(kPayloadHead);
     switch (record.m_payload[kPayloadHead - 1]) {
-    case kNoop:
+    case NoopRecord:
         break;
-    case kConfiguration: {
+    case ConfigurationRecord: {
         auto configuration = decodeConfiguration(body, reason);
         if (!configuration)
             return std::nullopt;
         entry.m_body = std::move(*configuration);
         break;
     }
-    case kApplication:
+    case ApplicationRecord:
         entry.m_body = std::string(body);
         break;
     default:
@@ -109,13 +109,13 @@
     appendNumber(payload, entry.m_term.value(), kNumber);
     appendNumber(payload, batchFirst.value(), kNumber);
     if (const auto* bytes = std::get_if<std::string>(&entry.m_body)) {
-        payload.push_back(kApplication);
+        payload.push_back(ApplicationRecord);
         payload += *bytes;
     } else if (const auto* configuration = std::get_if<Configuration>(&entry.m_body)) {
-        payload.push_back(kConfiguration);
+        payload.push_back(ConfigurationRecord);
         payload += encodeConfiguration(*configuration);
     } else
-        payload.push_back(kNoop);
+        payload.push_back(NoopRecord);
     std::string record;
     appendNumber(record, payload.size(), kLengthSize);
     appendNumber(record, hashBytes(payload), kNumber);
--- a/src/libflamingo/consensus/tests/electiontest.cpp
+++ b/src/libflamingo/consensus/tests/electiontest.cpp
@@ -86,6 +86,15 @@
         REQUIRE(old.term() == term);
     }
 
+    SECTION("a follower that can send but not receive does not depose the leader")
+    {
+        const Term term = old.term();
+        cluster.blockOneWay(first, (first + 1) % 3);
+        cluster.run(Milliseconds(30'000));
+        REQUIRE(cluster.leader() == first);
+        REQUIRE(old.term() == term);
+    }
+
     SECTION("no member accepts entries without a majority")
     {
         cluster.crash((first + 1) % 3);
--- a/src/libflamingo/consensus/tests/testcluster.h
+++ b/src/libflamingo/consensus/tests/testcluster.h
@@ -92,6 +92,7 @@
 
     void isolate(int vm);
     void partition(const std::set<int>& side);
+    void blockOneWay(int from, int to) { m_blocked.insert({ m_vms[from].m_address, m_vms[to].m_address }); }
     void heal() { m_blocked.clear(); }
 
     static constexpr Milliseconds kStep { 10 };
