--- /dev/null
+++ b/src/libflamingo/query/hitmerge.cpp
@@ -0,0 +1,248 @@
+#include "query/hitmerge.h"
+
+#include <rapidjson/error/error.h>
+#include <rapidjson/memorystream.h>
+#include <rapidjson/reader.h>
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace flamingo {
+
+namespace {
+
+// Bounds the recursion of the parser against hostile bodies.
+constexpr unsigned mostLevels = 64;
+// The merger drops the worst hits when it holds this many times the limit.
+constexpr std::size_t pruneFactor = 4;
+
+using Stream = rapidjson::MemoryStream;
+
+// NOLINTBEGIN(readability-identifier-naming): the parser prescribes the names of the handler's functions.
+/** Receives the parser's events and notes score, key and place of each hit. */
+class HitHandler : public rapidjson::BaseReaderHandler<rapidjson::UTF8<>, HitHandler> {
+public:
+    HitHandler(const Stream& stream, std::vector<ScannedHit>& hits)
+        : m_stream(stream)
+        , m_hits(hits)
+    {
+    }
+
+    bool Default() { return scalar(); }
+    bool Int(int value) { return number(value); }
+    bool Uint(unsigned value) { return number(value); }
+    bool Int64(std::int64_t value) { return number(static_cast<double>(value)); }
+    bool Uint64(std::uint64_t value) { return number(static_cast<double>(value)); }
+    bool Double(double value) { return number(value); }
+
+    bool String(const char* text, rapidjson::SizeType length, bool)
+    {
+        if (m_depth == 2 && m_field == Field::Key) {
+            if (m_hasKey)
+                return false;
+            m_hasKey = true;
+            m_hit.m_key.assign(text, length);
+            return true;
+        }
+        return scalar();
+    }
+
+    bool Key(const char* text, rapidjson::SizeType length, bool)
+    {
+        if (m_depth == 2) {
+            const std::string_view name(text, length);
+            m_field = name == "score" ? Field::Score : name == "key" ? Field::Key : Field::Other;
+        }
+        return true;
+    }
+
+    bool StartArray()
+    {
+        if (m_depth == 0) {
+            m_depth = 1;
+            return true;
+        }
+        return nested();
+    }
+
+    bool EndArray(rapidjson::SizeType)
+    {
+        --m_depth;
+        return true;
+    }
+
+    bool StartObject()
+    {
+        if (m_depth == 0)
+            return false;
+        if (m_depth > 1)
+            return nested();
+        m_depth = 2;
+        m_hit = ScannedHit();
+        m_hasKey = false;
+        m_hasScore = false;
+        // The parser has already taken the brace.
+        m_hit.m_offset = static_cast<std::uint32_t>(m_stream.Tell() - 1);
+        return true;
+    }
+
+    bool EndObject(rapidjson::SizeType)
+    {
+        --m_depth;
+        if (m_depth > 1)
+            return true;
+        if (!m_hasKey || !m_hasScore)
+            return false;
+        m_hit.m_length = static_cast<std::uint32_t>(m_stream.Tell()) - m_hit.m_offset;
+        m_hits.push_back(std::move(m_hit));
+        return true;
+    }
+
+private:
+    enum class Field {
+        Score,
+        Key,
+        Other,
+    };
+
+    // A value directly in the outer array, or of the wrong type for its field, is no hit.
+    bool scalar() const { return m_depth > 2 || (m_depth == 2 && m_field == Field::Other); }
+
+    bool number(double value)
+    {
+        if (m_depth != 2 || m_field != Field::Score)
+            return scalar();
+        if (m_hasScore)
+            return false;
+        m_hasScore = true;
+        m_hit.m_score = value;
+        return true;
+    }
+
+    bool nested()
+    {
+        if (!scalar() || m_depth >= mostLevels)
+            return false;
+        ++m_depth;
+        return true;
+    }
+
+    const Stream& m_stream;
+    std::vector<ScannedHit>& m_hits;
+    unsigned m_depth = 0; // 1 inside the array, 2 inside a hit
+    Field m_field = Field::Other;
+    ScannedHit m_hit;
+    bool m_hasKey = false;
+    bool m_hasScore = false;
+};
+
+// NOLINTEND(readability-identifier-naming)
+
+void dropRepeatedKeys(std::vector<ScannedHit>& hits)
+{
+    std::vector<std::uint32_t> order(hits.size());
+    std::iota(order.begin(), order.end(), 0U);
+    std::sort(order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) {
+        const int keys = hits[a].m_key.compare(hits[b].m_key);
+        if (keys != 0)
+            return keys < 0;
+        return hits[a].m_score != hits[b].m_score ? hits[a].m_score > hits[b].m_score : a < b;
+    });
+    std::vector<bool> repeated(hits.size());
+    bool any = false;
+    for (std::size_t i = 1; i < order.size(); ++i) {
+        if (hits[order[i]].m_key == hits[order[i - 1]].m_key) {
+            repeated[order[i]] = true;
+            any = true;
+        }
+    }
+    if (!any)
+        return;
+    std::size_t kept = 0;
+    for (std::size_t i = 0; i < hits.size(); ++i) {
+        if (!repeated[i]) {
+            if (kept != i)
+                hits[kept] = std::move(hits[i]);
+            ++kept;
+        }
+    }
+    hits.resize(kept);
+}
+
+bool ranksBefore(const HitMerger::Entry& a, const HitMerger::Entry& b)
+{
+    if (a.m_score != b.m_score)
+        return a.m_score > b.m_score;
+    const int keys = a.m_key.compare(b.m_key);
+    return keys != 0 ? keys < 0 : a.m_shard < b.m_shard;
+}
+
+void prune(HitMerger& merger)
+{
+    if (merger.m_entries.size() <= merger.m_limit)
+        return;
+    const auto last = merger.m_entries.begin() + static_cast<std::ptrdiff_t>(merger.m_limit);
+    std::nth_element(merger.m_entries.begin(), last, merger.m_entries.end(), ranksBefore);
+    merger.m_entries.resize(merger.m_limit);
+}
+
+} // namespace
+
+std::optional<std::vector<ScannedHit>> scanHits(std::string_view body)
+{
+    if (body.size() > std::numeric_limits<std::uint32_t>::max())
+        return std::nullopt;
+    std::vector<ScannedHit> hits;
+    Stream stream(body.data(), body.size());
+    HitHandler handler(stream, hits);
+    rapidjson::Reader reader;
+    constexpr unsigned flags = rapidjson::kParseValidateEncodingFlag | rapidjson::kParseFullPrecisionFlag;
+    if (!reader.Parse<flags>(stream, handler))
+        return std::nullopt;
+    dropRepeatedKeys(hits);
+    return hits;
+}
+
+bool addShardHits(HitMerger& merger, ShardIndex shard, std::string body)
+{
+    auto hits = scanHits(body);
+    if (!hits)
+        return false;
+    const auto bodyIndex = static_cast<std::uint32_t>(merger.m_bodies.size());
+    merger.m_bodies.push_back(std::move(body));
+    for (ScannedHit& hit : *hits) {
+        HitMerger::Entry entry;
+        entry.m_score = hit.m_score;
+        entry.m_key = std::move(hit.m_key);
+        entry.m_shard = shard.value();
+        entry.m_body = bodyIndex;
+        entry.m_offset = hit.m_offset;
+        entry.m_length = hit.m_length;
+        merger.m_entries.push_back(std::move(entry));
+    }
+    if (merger.m_entries.size() > pruneFactor * merger.m_limit)
+        prune(merger);
+    return true;
+}
+
+std::string mergedHits(HitMerger& merger)
+{
+    prune(merger);
+    std::sort(merger.m_entries.begin(), merger.m_entries.end(), ranksBefore);
+    std::size_t size = 2;
+    for (const HitMerger::Entry& entry : merger.m_entries)
+        size += entry.m_length + 1;
+    std::string text;
+    text.reserve(size);
+    text += '[';
+    for (const HitMerger::Entry& entry : merger.m_entries) {
+        if (text.size() > 1)
+            text += ',';
+        text.append(merger.m_bodies[entry.m_body], entry.m_offset, entry.m_length);
+    }
+    text += ']';
+    return text;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/query/queryexecution.cpp
@@ -0,0 +1,269 @@
+#include "query/queryexecution.h"
+
+#include "query/querystep.h"
+
+#include <algorithm>
+
+namespace flamingo {
+
+namespace detail {
+
+namespace {
+
+bool isLater(const QueryDue& a, const QueryDue& b) { return a.m_at > b.m_at; }
+
+double coverageOf(const QueryExecution& execution)
+{
+    if (execution.m_totalWeight == 0)
+        return 0.0;
+    return double(execution.m_answeredWeight) / double(execution.m_totalWeight);
+}
+
+bool hasReachedFloor(const QueryExecution& execution)
+{
+    constexpr double rounding = 1e-9;
+    return execution.m_answeredWeight > 0
+        && double(execution.m_answeredWeight) + rounding >= execution.m_floor * double(execution.m_totalWeight);
+}
+
+// Ends the query with the shards that have answered.
+void finishWithResults(QueryStep& step)
+{
+    const QueryExecution& execution = step.m_execution;
+    cancelAll(step);
+    const bool whole = execution.m_answeredWeight == execution.m_totalWeight;
+    if (hasReachedFloor(execution)) {
+        const bool says = !whole && execution.m_snapshotGone;
+        return finishQuery(step, ResultCode::Ok, says ? "the snapshot left service during the query" : "");
+    }
+    if (execution.m_snapshotGone)
+        return finishQuery(step, ResultCode::SnapshotGone, "the snapshot left service during the query");
+    if (execution.m_answeredWeight > 0)
+        return finishQuery(step, ResultCode::CoverageBelowFloor, "too few shards answered to reach the floor");
+    if (step.mayHaveRun())
+        return finishQuery(step,
+            step.m_now >= execution.m_deadline ? ResultCode::DeadlineExceeded : ResultCode::EndpointFailed,
+            "no shard answered");
+    if (execution.m_shedRetryAfter.count() > 0)
+        return finishQuery(step, ResultCode::EndpointRefused, "the endpoints refused to take the query");
+    if (execution.m_longestWait.count() > 0)
+        return finishQuery(step, ResultCode::Overloaded, "all endpoints were busy until the deadline");
+    finishQuery(step, ResultCode::NoEndpoint, "no endpoint could be reached");
+}
+
+void advanceWaitingShards(QueryStep& step)
+{
+    for (std::uint32_t shard = 0; shard < step.m_execution.m_shards.size(); ++shard) {
+        if (step.m_execution.m_shards[shard].m_waiting)
+            advanceShard(step, ShardIndex(shard));
+    }
+}
+
+void takeDue(QueryStep& step, const QueryDue& due)
+{
+    const QueryExecution& execution = step.m_execution;
+    if (due.m_run != execution.m_run)
+        return;
+    switch (due.m_kind) {
+    case QueryDue::Kind::Canary:
+        if (step.m_execution.m_canary.m_checkAt == due.m_at)
+            step.m_execution.m_canary.m_checkAt.reset();
+        advanceCanary(step);
+        break;
+    case QueryDue::Kind::Hedge:
+        if (execution.m_phase == QueryPhase::FanOut)
+            hedgeAttempt(step, AttemptNumber(due.m_subject));
+        else if (execution.m_attempts[due.m_subject - 1].m_attempt.m_open)
+            advanceCanary(step);
+        break;
+    case QueryDue::Kind::Shard:
+        if (execution.m_phase == QueryPhase::Canary)
+            return advanceCanary(step);
+        if (due.m_subject == QueryDue::anyWaitingShard)
+            return advanceWaitingShards(step);
+        if (step.shard(ShardIndex(due.m_subject)).m_checkAt == due.m_at)
+            step.shard(ShardIndex(due.m_subject)).m_checkAt.reset();
+        advanceShard(step, ShardIndex(due.m_subject));
+        break;
+    }
+}
+
+void takeAllDue(QueryStep& step)
+{
+    auto& due = step.m_execution.m_due;
+    while (step.m_execution.m_phase != QueryPhase::Finished && !due.empty() && due.front().m_at <= step.m_now) {
+        const QueryDue next = due.front();
+        std::pop_heap(due.begin(), due.end(), isLater);
+        due.pop_back();
+        takeDue(step, next);
+    }
+}
+
+void takeCapacity(QueryStep& step, EndpointIndex endpoint)
+{
+    QueryExecution& execution = step.m_execution;
+    if (endpoint.value() >= step.m_context.m_routing.m_table.m_endpoints.size())
+        return;
+    if (execution.m_phase == QueryPhase::Canary)
+        return advanceCanary(step);
+    const std::size_t before = execution.m_attempts.size();
+    // Copied, since the routes may not be held across sends.
+    const auto holdings = step.m_context.m_routing.m_table.m_endpoints[endpoint.value()].m_holdings;
+    for (const ShardHolding& holding : holdings) {
+        if (holding.m_version == execution.m_version && holding.m_layout == execution.m_layout
+            && holding.m_shard.value() < execution.m_shards.size()
+            && execution.m_shards[holding.m_shard.value()].m_waiting)
+            advanceShard(step, holding.m_shard);
+    }
+    const auto next = longestWaiting(step.m_context.m_routing, endpoint);
+    // The call may have gone to another replica; then the next execution gets this one.
+    if (next && *next != execution.m_id && execution.m_attempts.size() > before
+        && canTakeCall(step.m_context.m_routing, endpoint, step.m_now))
+        step.m_effects.emplace_back(WakeExecution { *next, endpoint });
+}
+
+void armTimer(QueryStep& step)
+{
+    QueryExecution& execution = step.m_execution;
+    if (execution.m_phase == QueryPhase::Finished)
+        return;
+    MonotonicTime next = execution.m_deadline;
+    if (execution.m_floorReachedAt && execution.m_preference == AnswerPreference::Early)
+        next = std::min(next, *execution.m_floorReachedAt + execution.m_patience);
+    if (!execution.m_due.empty())
+        next = std::min(next, execution.m_due.front().m_at);
+    if (execution.m_timerAt && *execution.m_timerAt <= next)
+        return;
+    execution.m_timerAt = next;
+    step.m_effects.emplace_back(SetTimer { next });
+}
+
+struct EventTaker {
+    QueryStep& m_step;
+
+    void operator()(QueryStarted&)
+    {
+        if (m_step.m_execution.m_phase == QueryPhase::Idle)
+            startQuery(m_step);
+    }
+    void operator()(CallReplied& event) { takeReply(m_step, std::move(event)); }
+    void operator()(TimerExpired&) { m_step.m_execution.m_timerAt.reset(); }
+    void operator()(StateChanged&) { followState(m_step); }
+    void operator()(CapacityFreed& event) { takeCapacity(m_step, event.m_endpoint); }
+    void operator()(QuarantineDecided& event) { takeDecision(m_step, event); }
+};
+
+} // namespace
+
+const ServiceRoutes* QueryStep::service() const
+{
+    return findService(m_context.m_routing.m_table, m_execution.m_request.m_service);
+}
+
+const SnapshotRoutes* QueryStep::snapshot() const
+{
+    const ServiceRoutes* routes = service();
+    const SnapshotRoutes* found = routes ? findSnapshot(*routes, m_execution.m_version, m_execution.m_layout) : nullptr;
+    return found && found->m_generation == m_execution.m_layoutGeneration ? found : nullptr;
+}
+
+ServiceStats& QueryStep::stats() const { return serviceStats(m_context.m_routing, m_execution.m_request.m_service); }
+
+Microseconds QueryStep::hedgeAfter() const { return hedgeDelay(stats().m_latency, m_context.m_routing.m_settings); }
+
+void pushDue(QueryStep& step, MonotonicTime at, QueryDue::Kind kind, std::uint32_t subject)
+{
+    auto& due = step.m_execution.m_due;
+    due.push_back({ at, kind, subject, step.m_execution.m_run });
+    std::push_heap(due.begin(), due.end(), isLater);
+}
+
+void checkShardAt(QueryStep& step, ShardIndex index, MonotonicTime at)
+{
+    auto& checkAt = step.shard(index).m_checkAt;
+    if (checkAt && *checkAt <= at)
+        return;
+    checkAt = at;
+    pushDue(step, at, QueryDue::Kind::Shard, index.value());
+}
+
+void checkCanaryAt(QueryStep& step, MonotonicTime at)
+{
+    auto& checkAt = step.m_execution.m_canary.m_checkAt;
+    if (checkAt && *checkAt <= at)
+        return;
+    checkAt = at;
+    pushDue(step, at, QueryDue::Kind::Canary, 0);
+}
+
+void finishQuery(QueryStep& step, ResultCode code, std::string text)
+{
+    QueryExecution& execution = step.m_execution;
+    if (execution.m_phase == QueryPhase::Finished)
+        return;
+    cancelAll(step);
+    execution.m_phase = QueryPhase::Finished;
+    FinishQuery finish;
+    QueryAnswer& answer = finish.m_answer;
+    answer.m_code = code;
+    answer.m_text = std::move(text);
+    answer.m_id = execution.m_request.m_id;
+    answer.m_snapshot = execution.m_version;
+    answer.m_layout = execution.m_layout;
+    answer.m_shardsAnswered = execution.m_shardsAnswered;
+    answer.m_shardsTotal = static_cast<std::uint32_t>(execution.m_weights.size());
+    answer.m_coverage = coverageOf(execution);
+    answer.m_configurationVersion = step.m_context.m_routing.m_table.m_configurationVersion;
+    answer.m_hits = mergedHits(execution.m_merger);
+    answer.m_endpointRequests = execution.m_endpointRequests;
+    if (resultClass(code) == ResultClass::NotRun)
+        answer.m_retryAfter = execution.m_shedRetryAfter;
+    step.m_effects.emplace_back(std::move(finish));
+}
+
+void finishIfDone(QueryStep& step)
+{
+    QueryExecution& execution = step.m_execution;
+    if (execution.m_phase == QueryPhase::Finished || execution.m_phase == QueryPhase::Idle)
+        return;
+    if (step.m_now >= execution.m_deadline || (execution.m_phase == QueryPhase::FanOut && execution.m_shardsOpen == 0))
+        return finishWithResults(step);
+    if (execution.m_phase != QueryPhase::FanOut || !hasReachedFloor(execution))
+        return;
+    if (!execution.m_floorReachedAt)
+        execution.m_floorReachedAt = step.m_now;
+    if (execution.m_preference == AnswerPreference::Early
+        && step.m_now >= *execution.m_floorReachedAt + execution.m_patience)
+        finishWithResults(step);
+}
+
+} // namespace detail
+
+QueryExecution makeQueryExecution(ExecutionId id, QueryRequest request)
+{
+    QueryExecution execution;
+    execution.m_id = id;
+    execution.m_request = std::move(request);
+    return execution;
+}
+
+QueryEffects stepQuery(QueryExecution& execution, QueryEvent event, QueryContext& context, MonotonicTime now)
+{
+    if (execution.m_phase == QueryPhase::Finished) {
+        if (std::holds_alternative<CallReplied>(event))
+            ++serviceStats(context.m_routing, execution.m_request.m_service).m_counters.m_droppedReplies;
+        return {};
+    }
+    detail::QueryStep step { execution, context, now, {} };
+    std::visit(detail::EventTaker { step }, event);
+    if (execution.m_phase == QueryPhase::Idle)
+        return std::move(step.m_effects);
+    // An answer that comes with the deadline still counts; new calls are not sent then.
+    if (now < execution.m_deadline)
+        detail::takeAllDue(step);
+    detail::finishIfDone(step);
+    detail::armTimer(step);
+    return std::move(step.m_effects);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/query/querysend.cpp
@@ -0,0 +1,298 @@
+#include "query/querystep.h"
+
+#include <algorithm>
+
+namespace flamingo::detail {
+
+namespace {
+
+// The endpoint's time ends before the caller's, so that its answer still counts.
+MonotonicTime callDeadline(const QueryStep& step)
+{
+    const QuerySettings& settings = step.m_context.m_settings;
+    const QueryExecution& execution = step.m_execution;
+    const auto whole = execution.m_deadline - execution.m_startedAt;
+    const auto margin = std::chrono::duration_cast<MonotonicTime::duration>(whole * settings.m_replyMargin);
+    return execution.m_deadline
+        - std::min<MonotonicTime::duration>(margin, MonotonicTime::duration(settings.m_longestReplyMargin));
+}
+
+// Pays for the call: the first one earns, calls that replace one never sent are free, the rest cost a token.
+bool payForCall(QueryStep& step, ShardProgress& shard, bool& paid)
+{
+    ExtraLoadBudget& budget = step.stats().m_budget;
+    paid = false;
+    if (shard.m_freeSends > 0) {
+        --shard.m_freeSends;
+        if (!shard.m_firstEarned) {
+            shard.m_firstEarned = true;
+            earnExtraLoad(budget);
+        }
+        return true;
+    }
+    paid = spendExtraLoad(budget);
+    return paid;
+}
+
+void countCall(QueryStep& step, SendPurpose purpose, bool paid)
+{
+    RoutingCounters& counters = step.stats().m_counters;
+    if (!paid)
+        ++counters.m_firstAttempts;
+    else if (purpose == SendPurpose::Hedge)
+        ++counters.m_hedges;
+    else if (purpose == SendPurpose::Canary)
+        ++counters.m_canaryDuplicates;
+    else
+        ++counters.m_retries;
+}
+
+void waitForReplica(QueryStep& step, ShardIndex index)
+{
+    QueryExecution& execution = step.m_execution;
+    ShardProgress& shard = step.shard(index);
+    if (!shard.m_waiting) {
+        shard.m_waiting = true;
+        shard.m_waitingSince = step.m_now;
+        const ShardHolding holding { execution.m_version, execution.m_layout, index };
+        waitForShard(step.m_context.m_routing, execution.m_request.m_service, holding, execution.m_id);
+    }
+}
+
+// All replicas of the shard have failed: starts over with them after a wait that doubles.
+void startOver(QueryStep& step, ShardIndex index)
+{
+    ShardProgress& shard = step.shard(index);
+    const QuerySettings& settings = step.m_context.m_settings;
+    const unsigned doublings = std::min(shard.m_sent, 10U);
+    const Milliseconds wait = std::min(settings.m_retryBackoff * (1U << doublings), settings.m_longestRetryBackoff);
+    shard.m_tried.clear();
+    shard.m_notBefore = step.m_now + wait;
+    checkShardAt(step, index, shard.m_notBefore);
+}
+
+Microseconds recheckDelay(const QueryStep& step)
+{
+    const auto part
+        = std::chrono::duration_cast<Microseconds>(step.hedgeAfter() * step.m_context.m_settings.m_hedgeRecheck);
+    return std::max(part, step.m_context.m_routing.m_settings.m_shortestHedgeDelay);
+}
+
+// Returns the only replica of the shard if the attempt has run on it for long: its connection may be
+// silent while new ones work.
+std::optional<EndpointIndex> sameReplica(const QueryStep& step, const QueryAttempt& attempt)
+{
+    const SnapshotRoutes* snapshot = step.snapshot();
+    if (!snapshot)
+        return std::nullopt;
+    const auto& endpoints = step.m_context.m_routing.m_table.m_endpoints;
+    const auto& replicas = snapshot->m_replicas[attempt.m_shard.value()];
+    const bool others = std::any_of(replicas.begin(), replicas.end(), [&](EndpointIndex index) {
+        return index != attempt.m_attempt.m_endpoint && !endpoints[index.value()].m_draining;
+    });
+    const auto age = step.m_now - attempt.m_attempt.m_sentAt;
+    if (others || age < step.hedgeAfter() * step.m_context.m_settings.m_soleReplicaDelay)
+        return std::nullopt;
+    if (!isEndpointKnown(step.m_context.m_routing, attempt.m_attempt)
+        || !canTakeCall(step.m_context.m_routing, attempt.m_attempt.m_endpoint, step.m_now))
+        return std::nullopt;
+    return attempt.m_attempt.m_endpoint;
+}
+
+void wakeNext(QueryStep& step, EndpointIndex endpoint)
+{
+    const auto next = longestWaiting(step.m_context.m_routing, endpoint);
+    if (!next)
+        return;
+    if (*next != step.m_execution.m_id) {
+        step.m_effects.emplace_back(WakeExecution { *next, endpoint });
+        return;
+    }
+    // Looked at within this step, after the event itself.
+    pushDue(step, step.m_now, QueryDue::Kind::Shard, QueryDue::anyWaitingShard);
+}
+
+} // namespace
+
+bool sendCall(QueryStep& step, ShardIndex index, EndpointIndex endpoint, SendPurpose purpose, bool suspect)
+{
+    QueryExecution& execution = step.m_execution;
+    ShardProgress& shard = step.shard(index);
+    bool paid = false;
+    if (!step.m_context.m_leaseValid || !payForCall(step, shard, paid))
+        return false;
+    countCall(step, purpose, paid);
+    QueryAttempt attempt;
+    attempt.m_attempt = beginAttempt(step.m_context.m_routing, endpoint, suspect, step.m_now);
+    attempt.m_attempt.m_paid = paid;
+    attempt.m_shard = index;
+    attempt.m_hedge = purpose == SendPurpose::Hedge;
+    execution.m_attempts.push_back(attempt);
+    const AttemptNumber number(static_cast<std::uint32_t>(execution.m_attempts.size()));
+    stopWaitingFor(step, index);
+    ++shard.m_open;
+    ++shard.m_sent;
+    ++execution.m_endpointRequests;
+    shard.m_tried.push_back(endpoint);
+
+    SendCall send;
+    EndpointCall& call = send.m_call;
+    addressCall(step.m_context.m_routing, endpoint, call);
+    call.m_path = "/shard/query";
+    call.m_request = execution.m_request.m_id;
+    call.m_attempt = number;
+    call.m_snapshot = execution.m_version;
+    call.m_layout = execution.m_layout;
+    call.m_shard = index;
+    call.m_kind = "query";
+    call.m_body = execution.m_request.m_body;
+    call.m_deadline = callDeadline(step);
+    call.m_provenConnection = purpose != SendPurpose::First && number.value() > 1;
+    send.m_isHedge = attempt.m_hedge;
+    step.m_effects.emplace_back(std::move(send));
+    pushDue(step, step.m_now + step.hedgeAfter(), QueryDue::Kind::Hedge, number.value());
+    return true;
+}
+
+void advanceShard(QueryStep& step, ShardIndex index)
+{
+    QueryExecution& execution = step.m_execution;
+    ShardProgress& shard = step.shard(index);
+    if (execution.m_phase != QueryPhase::FanOut || shard.m_answered || shard.m_gaveUp || shard.m_open > 0)
+        return;
+    const SnapshotRoutes* snapshot = step.snapshot();
+    const QuerySettings& settings = step.m_context.m_settings;
+    if (!snapshot || shard.m_sent >= settings.m_attemptsPerShard
+        || shard.m_lostConnections >= settings.m_lostConnectionsPerShard)
+        return giveUp(step, index);
+    if (step.m_now < shard.m_notBefore)
+        return;
+    if (!step.m_context.m_leaseValid) {
+        checkShardAt(step, index, step.m_now + settings.m_waitPoll);
+        return;
+    }
+    const ChoiceRequest request { snapshot->m_replicas[index.value()], shard.m_tried, true };
+    const EndpointChoice choice
+        = chooseEndpoint(step.m_context.m_routing, request, step.m_context.m_random, step.m_now);
+    if (choice.m_endpoint) {
+        const SendPurpose purpose = shard.m_sent == 0 ? SendPurpose::First : SendPurpose::Retry;
+        if (!sendCall(step, index, *choice.m_endpoint, purpose, false)) {
+            // Without a token. Others may use the replica meanwhile.
+            stopWaitingFor(step, index);
+            checkShardAt(step, index, step.m_now + recheckDelay(step));
+        }
+        return;
+    }
+    if (choice.m_busy)
+        waitForReplica(step, index);
+    if (choice.m_busy || choice.m_retryAt) {
+        const MonotonicTime poll = step.m_now + settings.m_waitPoll;
+        checkShardAt(step, index, std::min(choice.m_retryAt.value_or(poll), poll));
+    } else if (!shard.m_tried.empty()) {
+        startOver(step, index);
+    } else {
+        giveUp(step, index);
+    }
+}
+
+void startFanOut(QueryStep& step)
+{
+    step.m_execution.m_phase = QueryPhase::FanOut;
+    const auto shards = static_cast<std::uint32_t>(step.m_execution.m_shards.size());
+    step.m_effects.reserve(step.m_effects.size() + shards + 2);
+    for (std::uint32_t shard = 0; shard < shards; ++shard)
+        advanceShard(step, ShardIndex(shard));
+}
+
+void hedgeAttempt(QueryStep& step, AttemptNumber number)
+{
+    QueryExecution& execution = step.m_execution;
+    const QueryAttempt& attempt = execution.m_attempts[number.value() - 1];
+    if (!attempt.m_attempt.m_open)
+        return;
+    ShardProgress& shard = step.shard(attempt.m_shard);
+    const QuerySettings& settings = step.m_context.m_settings;
+    const SnapshotRoutes* snapshot = step.snapshot();
+    if (!snapshot || shard.m_answered || shard.m_sent >= settings.m_attemptsPerShard)
+        return;
+    if (shard.m_open < settings.m_callsInFlightPerShard) {
+        const ShardIndex index = attempt.m_shard;
+        const ChoiceRequest request { snapshot->m_replicas[index.value()], shard.m_tried, false };
+        const EndpointChoice choice
+            = chooseEndpoint(step.m_context.m_routing, request, step.m_context.m_random, step.m_now);
+        const auto endpoint = choice.m_endpoint ? choice.m_endpoint : sameReplica(step, attempt);
+        if (endpoint && sendCall(step, index, *endpoint, SendPurpose::Hedge, false))
+            return;
+    }
+    pushDue(step, step.m_now + recheckDelay(step), QueryDue::Kind::Hedge, number.value());
+}
+
+void stopWaitingFor(QueryStep& step, ShardIndex index)
+{
+    QueryExecution& execution = step.m_execution;
+    ShardProgress& shard = step.shard(index);
+    if (!shard.m_waiting)
+        return;
+    shard.m_waiting = false;
+    const auto waited = std::chrono::duration_cast<Microseconds>(step.m_now - shard.m_waitingSince);
+    execution.m_longestWait = std::max(execution.m_longestWait, waited);
+    const ShardHolding holding { execution.m_version, execution.m_layout, index };
+    stopWaiting(step.m_context.m_routing, execution.m_request.m_service, holding, execution.m_id);
+}
+
+void stopAllWaiting(QueryStep& step)
+{
+    for (std::uint32_t shard = 0; shard < step.m_execution.m_shards.size(); ++shard)
+        stopWaitingFor(step, ShardIndex(shard));
+}
+
+void giveUp(QueryStep& step, ShardIndex index)
+{
+    ShardProgress& shard = step.shard(index);
+    stopWaitingFor(step, index);
+    shard.m_gaveUp = true;
+    --step.m_execution.m_shardsOpen;
+}
+
+void closeAttempt(QueryStep& step, QueryAttempt& attempt, CallVerdict verdict, const EndpointReply* reply)
+{
+    if (!attempt.m_attempt.m_open)
+        return;
+    QueryExecution& execution = step.m_execution;
+    endAttempt(step.m_context.m_routing, execution.m_request.m_service, attempt.m_attempt, verdict, reply, step.m_now);
+    ShardProgress& shard = step.shard(attempt.m_shard);
+    --shard.m_open;
+    if (reply && reply->m_outcome == CallOutcome::NotSent) {
+        // No endpoint saw the call, so it is not extra load.
+        --execution.m_endpointRequests;
+        if (attempt.m_attempt.m_paid)
+            refundExtraLoad(step.stats().m_budget);
+        else
+            ++shard.m_freeSends;
+    }
+    if (reply && provesNotRun(*reply))
+        ++execution.m_provenNotRun;
+    wakeNext(step, attempt.m_attempt.m_endpoint);
+}
+
+void cancelAttempt(QueryStep& step, AttemptNumber number, CallVerdict verdict)
+{
+    QueryAttempt& attempt = step.m_execution.m_attempts[number.value() - 1];
+    if (!attempt.m_attempt.m_open)
+        return;
+    step.m_effects.emplace_back(CancelCall { number });
+    closeAttempt(step, attempt, verdict, nullptr);
+}
+
+void cancelAll(QueryStep& step)
+{
+    QueryExecution& execution = step.m_execution;
+    stopAllWaiting(step);
+    for (std::uint32_t number = 1; number <= execution.m_attempts.size(); ++number) {
+        const Attempt& attempt = execution.m_attempts[number - 1].m_attempt;
+        const bool ranLong = step.m_now - attempt.m_sentAt >= step.hedgeAfter();
+        cancelAttempt(step, AttemptNumber(number), ranLong ? CallVerdict::LostRace : CallVerdict::Abandoned);
+    }
+}
+
+} // namespace flamingo::detail
--- /dev/null
+++ b/src/libflamingo/query/querystart.cpp
@@ -0,0 +1,187 @@
+#include "base/hash.h"
+#include "query/querystep.h"
+#include "query/snapshotchoice.h"
+
+#include <algorithm>
+#include <string>
+
+namespace flamingo::detail {
+
+namespace {
+
+bool isQuarantined(const QueryStep& step)
+{
+    const PublishedState& state = *step.m_context.m_routing.m_state;
+    return state.m_quarantine.count(step.m_execution.m_fingerprint) > 0;
+}
+
+// The fastest answers seen bound what a deadline can achieve at all.
+Microseconds shortestUsefulDeadline(const QueryStep& step)
+{
+    const Microseconds least = step.m_context.m_settings.m_shortestDeadline;
+    const LatencyDistribution& latency = step.stats().m_latency;
+    if (latencySamples(latency) < step.m_context.m_routing.m_settings.m_samplesForHedgeDelay)
+        return least;
+    constexpr double fastest = 0.01;
+    return std::max(least, latencyQuantile(latency, fastest).value_or(least));
+}
+
+// Weight of the shards that are answered or may still be.
+std::uint64_t attainableWeight(const QueryStep& step, const SnapshotRoutes* snapshot)
+{
+    const QueryExecution& execution = step.m_execution;
+    const auto& endpoints = step.m_context.m_routing.m_table.m_endpoints;
+    std::uint64_t weight = execution.m_answeredWeight;
+    for (std::size_t shard = 0; shard < execution.m_shards.size(); ++shard) {
+        const ShardProgress& progress = execution.m_shards[shard];
+        if (progress.m_answered || progress.m_gaveUp)
+            continue;
+        bool attainable = progress.m_open > 0;
+        if (!attainable && snapshot) {
+            const auto& replicas = snapshot->m_replicas[shard];
+            attainable = std::any_of(replicas.begin(), replicas.end(),
+                [&](EndpointIndex index) { return !endpoints[index.value()].m_draining; });
+        }
+        if (attainable)
+            weight += execution.m_weights[shard];
+    }
+    return weight;
+}
+
+bool hasTimeToRestart(const QueryStep& step)
+{
+    const auto needed = 2 * step.hedgeAfter();
+    return step.m_now + needed < step.m_execution.m_deadline;
+}
+
+// Restarts on another snapshot when the present one can no longer give what the service wants.
+bool restartElsewhere(QueryStep& step, std::uint64_t attainable)
+{
+    QueryExecution& execution = step.m_execution;
+    const double coverage = double(attainable) / double(std::max<std::uint64_t>(execution.m_totalWeight, 1));
+    const bool enough
+        = attainable > 0 && double(attainable) + 1e-9 >= execution.m_floor * double(execution.m_totalWeight);
+    if (enough && execution.m_preference == AnswerPreference::Early)
+        return false;
+    const QuerySettings& settings = step.m_context.m_settings;
+    if (!step.m_context.m_leaseValid || execution.m_run >= settings.m_restarts || !hasTimeToRestart(step))
+        return false;
+    Reason reason;
+    const auto other = chooseSnapshot(*step.service(), execution.m_floor, reason);
+    if (!other || *other == SnapshotId(execution.m_version, execution.m_layout))
+        return false;
+    const SnapshotRoutes* routes = findSnapshot(*step.service(), other->first, other->second);
+    if (availableCoverage(*routes) <= coverage)
+        return false;
+    cancelAll(step);
+    ++execution.m_run;
+    ++step.stats().m_counters.m_restarts;
+    beginOnSnapshot(step, *other);
+    return true;
+}
+
+// Takes a shard up again that was given up for want of a replica.
+void reviveShard(QueryStep& step, const SnapshotRoutes* snapshot, ShardIndex index)
+{
+    ShardProgress& shard = step.shard(index);
+    if (!snapshot || !shard.m_gaveUp || shard.m_sent > 0 || snapshot->m_replicas[index.value()].empty())
+        return;
+    shard.m_gaveUp = false;
+    ++step.m_execution.m_shardsOpen;
+}
+
+} // namespace
+
+void beginOnSnapshot(QueryStep& step, const SnapshotId& id)
+{
+    QueryExecution& execution = step.m_execution;
+    const SnapshotRoutes& snapshot = *findSnapshot(*step.service(), id.first, id.second);
+    execution.m_version = id.first;
+    execution.m_layout = id.second;
+    execution.m_layoutGeneration = snapshot.m_generation;
+    execution.m_weights = snapshot.m_weights;
+    execution.m_totalWeight = snapshot.m_totalWeight;
+    execution.m_answeredWeight = 0;
+    execution.m_shardsAnswered = 0;
+    execution.m_shardsOpen = static_cast<std::uint32_t>(snapshot.m_weights.size());
+    execution.m_snapshotGone = false;
+    execution.m_shards.assign(snapshot.m_weights.size(), ShardProgress());
+    execution.m_due.clear();
+    execution.m_floorReachedAt.reset();
+    execution.m_merger = HitMerger();
+    execution.m_merger.m_limit = execution.m_request.m_limit;
+    const bool known = isKnownGood(step.m_context.m_fingerprints, execution.m_fingerprint);
+    if (step.service()->m_definition.m_canary && !known)
+        startCanary(step);
+    else
+        startFanOut(step);
+}
+
+void startQuery(QueryStep& step)
+{
+    QueryExecution& execution = step.m_execution;
+    const QueryRequest& request = execution.m_request;
+    execution.m_startedAt = step.m_now;
+    execution.m_deadline = step.m_now;
+    execution.m_fingerprint = requestFingerprint(request.m_service, "query", request.m_body);
+    if (!step.m_context.m_leaseValid)
+        return finishQuery(step, ResultCode::NoLease, "this VM holds no valid lease");
+    const ServiceRoutes* service = step.service();
+    if (!service)
+        return finishQuery(step, ResultCode::UnknownService, "unknown service \"" + request.m_service.value() + "\"");
+    const ServiceDefinition& definition = service->m_definition;
+    execution.m_floor = request.m_coverageFloor.value_or(definition.m_coverageFloor);
+    if (!(execution.m_floor >= 0.0 && execution.m_floor <= 1.0))
+        return finishQuery(step, ResultCode::InvalidField, "the coverage floor must be between 0 and 1");
+    execution.m_preference = definition.m_preference;
+    execution.m_patience = definition.m_patience;
+    if (isQuarantined(step))
+        return finishQuery(step, ResultCode::Quarantined, "the request crashed two endpoints and is quarantined");
+    const Milliseconds deadline = request.m_deadline.value_or(definition.m_deadline);
+    if (deadline < shortestUsefulDeadline(step))
+        return finishQuery(step, ResultCode::DeadlineTooShort,
+            "a deadline of " + std::to_string(deadline.count()) + " ms is shorter than any answer takes");
+    execution.m_deadline = step.m_now + std::min(deadline, step.m_context.m_settings.m_longestDeadline);
+    Reason reason;
+    const auto snapshot = chooseSnapshot(*service, execution.m_floor, reason);
+    if (!snapshot)
+        return finishQuery(step, reason.m_code, reason.m_text);
+    beginOnSnapshot(step, *snapshot);
+}
+
+void followState(QueryStep& step)
+{
+    QueryExecution& execution = step.m_execution;
+    if (!step.service())
+        return finishQuery(step, ResultCode::SnapshotGone, "the service was dropped during the query");
+    if (isQuarantined(step)) {
+        const ResultCode code = step.mayHaveRun() ? ResultCode::EndpointFailed : ResultCode::Quarantined;
+        return finishQuery(step, code, "the request crashed two endpoints and is quarantined");
+    }
+    if (execution.m_phase == QueryPhase::AwaitingDecision)
+        return;
+    const SnapshotRoutes* snapshot = step.snapshot();
+    const std::uint64_t attainable = attainableWeight(step, snapshot);
+    execution.m_snapshotGone = !snapshot;
+    if (attainable < execution.m_totalWeight && restartElsewhere(step, attainable))
+        return;
+    if (execution.m_phase == QueryPhase::Canary) {
+        if (!snapshot && execution.m_canary.m_used.empty())
+            return finishQuery(step, ResultCode::SnapshotGone, "the snapshot left service during the query");
+        return advanceCanary(step);
+    }
+    if (execution.m_phase != QueryPhase::FanOut)
+        return;
+    for (std::uint32_t shard = 0; shard < execution.m_shards.size(); ++shard) {
+        reviveShard(step, snapshot, ShardIndex(shard));
+        advanceShard(step, ShardIndex(shard));
+    }
+    // An endpoint that left may never answer, so its calls are hedged without further delay.
+    for (std::uint32_t number = 1; number <= execution.m_attempts.size(); ++number) {
+        const Attempt& attempt = execution.m_attempts[number - 1].m_attempt;
+        if (attempt.m_open && !isEndpointKnown(step.m_context.m_routing, attempt))
+            hedgeAttempt(step, AttemptNumber(number));
+    }
+}
+
+} // namespace flamingo::detail
--- /dev/null
+++ b/src/libflamingo/query/tests/hitmergetest.cpp
@@ -0,0 +1,58 @@
+#include "query/hitmerge.h"
+#include "naivequery.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+using namespace flamingo::testing;
+
+TEST_CASE("shard bodies are scanned for hits", "[query]")
+{
+    SECTION("guards against slices that cut a hit: each is the whole text of its object")
+    {
+        const std::string body = R"( [ {"key":"a\"}]","score":1.5,"data":{"key":"inner","score":9,"x":[{},"}"]}} ,)"
+                                 R"({ "score" : -2e1, "data":null, "key":"\u00e9" }] )";
+        const auto hits = scanHits(body);
+        REQUIRE(hits);
+        REQUIRE(hits->size() == 2);
+        CHECK(hits->at(0).m_key == "a\"}]");
+        CHECK(hits->at(0).m_score == 1.5);
+        CHECK(hits->at(1).m_key == "\xC3\xA9");
+        CHECK(hits->at(1).m_score == -20.0);
+        for (const ScannedHit& hit : *hits) {
+            rapidjson::Document slice;
+            slice.Parse(body.data() + hit.m_offset, hit.m_length);
+            CHECK_FALSE(slice.HasParseError());
+            CHECK(slice.IsObject());
+        }
+        CHECK(scanHits("[]")->empty());
+    }
+
+    SECTION("guards against answers that spoil the merged array or the process")
+    {
+        const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+        for (const std::string& body : { std::string(), std::string("{}"), std::string("[1]"), std::string("[[]]"),
+                 std::string(R"([{"score":1}])"), std::string(R"([{"key":"a"}])"),
+                 std::string(R"([{"score":"1","key":"a"}])"), std::string(R"([{"score":1,"key":2}])"),
+                 std::string(R"([{"score":1,"key":"a"})"), std::string(R"([{"score":1,"key":"a"}] x)"),
+                 std::string(R"([{"score":NaN,"key":"a"}])"), std::string("[{\"score\":1,\"key\":\"\xFF\"}]"),
+                 std::string(R"([{"score":1,"score":2,"key":"a"}])"), std::string(R"([{"score":1e999,"key":"a"}])"),
+                 deep, R"([{"score":1,"key":"a","data":)" + deep + "}]" }) {
+            INFO(body.substr(0, 60));
+            CHECK_FALSE(scanHits(body));
+        }
+    }
+
+    SECTION("guards against the loss of equal hits of distinct shards, and repeated hits of one shard")
+    {
+        HitMerger merger;
+        merger.m_limit = 3;
+        const std::string first = R"([{"score":1,"key":"b"},{"score":3,"key":"a"},{"score":2,"key":"a"}])";
+        const std::string second = R"([{"score":1,"key":"a"},{"score":3,"key":"a"}])";
+        REQUIRE(addShardHits(merger, ShardIndex(1), first));
+        REQUIRE(addShardHits(merger, ShardIndex(0), second));
+        CHECK_FALSE(addShardHits(merger, ShardIndex(2), "[{]"));
+        CHECK(mergedHits(merger) == R"([{"score":3,"key":"a"},{"score":3,"key":"a"},{"score":1,"key":"b"}])");
+        CHECK(naiveMerge({ { 1, first }, { 0, second } }, 3) == mergedHits(merger));
+    }
+}
--- /dev/null
+++ b/src/libflamingo/routing/attempt.cpp
@@ -0,0 +1,88 @@
+#include "routing/attempt.h"
+
+namespace flamingo {
+
+Attempt beginAttempt(RoutingState& routing, EndpointIndex endpoint, bool suspect, MonotonicTime now)
+{
+    const EndpointRoute& route = routing.m_table.m_endpoints[endpoint.value()];
+    EndpointStats& stats = routing.m_endpoints[endpoint.value()];
+    Attempt attempt;
+    attempt.m_endpoint = endpoint;
+    attempt.m_endpointId = route.m_id;
+    attempt.m_incarnation = route.m_incarnation;
+    attempt.m_generation = stats.m_generation;
+    attempt.m_sentAt = now;
+    attempt.m_open = true;
+    attempt.m_probe = noteCallSent(stats);
+    attempt.m_suspect = suspect;
+    if (suspect)
+        ++stats.m_suspects;
+    return attempt;
+}
+
+void endAttempt(RoutingState& routing, const ServiceName& service, Attempt& attempt, CallVerdict verdict,
+    const EndpointReply* reply, MonotonicTime now)
+{
+    if (!attempt.m_open)
+        return;
+    attempt.m_open = false;
+    CallEnd end;
+    end.m_verdict = verdict;
+    end.m_elapsed = std::chrono::duration_cast<Microseconds>(now - attempt.m_sentAt);
+    end.m_suspect = attempt.m_suspect;
+    end.m_probe = attempt.m_probe;
+    if (reply) {
+        end.m_retryAfter = reply->m_retryAfter;
+        if (reply->m_outcome == CallOutcome::Answered)
+            end.m_load = reply->m_load;
+    }
+    ServiceStats& learned = serviceStats(routing, service);
+    const bool ranLong = end.m_elapsed >= hedgeDelay(learned.m_latency, routing.m_settings);
+    const bool timedOut = reply && reply->m_outcome == CallOutcome::TimedOut;
+    if (verdict == CallVerdict::Answered || timedOut || (!reply && ranLong))
+        addLatency(learned.m_latency, end.m_elapsed, now);
+    if (verdict == CallVerdict::Shed)
+        ++learned.m_counters.m_shed;
+    if (EndpointStats* stats = statsOf(routing, attempt.m_endpoint, attempt.m_generation))
+        noteCallEnded(*stats, end, routing.m_settings, now);
+}
+
+bool isEndpointKnown(const RoutingState& routing, const Attempt& attempt)
+{
+    const std::size_t position = attempt.m_endpoint.value();
+    return position < routing.m_endpoints.size() && routing.m_table.m_endpoints[position].m_present
+        && routing.m_endpoints[position].m_generation == attempt.m_generation;
+}
+
+void addressCall(const RoutingState& routing, EndpointIndex endpoint, EndpointCall& call)
+{
+    const EndpointRoute& route = routing.m_table.m_endpoints[endpoint.value()];
+    call.m_endpoint = route.m_id;
+    call.m_address = route.m_address;
+    call.m_port = route.m_port;
+}
+
+CallVerdict verdictOf(const EndpointReply& reply)
+{
+    switch (reply.m_outcome) {
+    case CallOutcome::Answered:
+        if (reply.m_notRun)
+            return CallVerdict::Shed;
+        return reply.m_status == 200 ? CallVerdict::Answered : CallVerdict::Failed;
+    case CallOutcome::NotSent:
+    case CallOutcome::ConnectionLost:
+        return CallVerdict::Unreachable;
+    case CallOutcome::TimedOut:
+        return CallVerdict::Failed;
+    case CallOutcome::Cancelled:
+        break;
+    }
+    return CallVerdict::Abandoned;
+}
+
+bool provesNotRun(const EndpointReply& reply)
+{
+    return reply.m_outcome == CallOutcome::NotSent || (reply.m_outcome == CallOutcome::Answered && reply.m_notRun);
+}
+
+} // namespace flamingo
--- a/src/libflamingo/routing/endpointstats.h
+++ b/src/libflamingo/routing/endpointstats.h
@@ -12,7 +12,7 @@
 
 /** What this daemon has seen of one endpoint. A plain value for one event loop. */
 struct EndpointStats {
-    Incarnation m_incarnation;
+    std::uint64_t m_generation = 0; // tells successive endpoints at one position apart
     std::uint32_t m_inFlight = 0; // calls of this daemon
     double m_latency = 0.0; // moving average, µs; 0 before the first sample
     std::uint32_t m_failuresInRow = 0;
--- a/src/libflamingo/routing/routingstate.cpp
+++ b/src/libflamingo/routing/routingstate.cpp
@@ -24,7 +24,7 @@
             routing.m_endpoints.resize(index.value() + 1);
         EndpointStats& stats = routing.m_endpoints[index.value()];
         stats = EndpointStats();
-        stats.m_incarnation = routing.m_table.m_endpoints[index.value()].m_incarnation;
+        stats.m_generation = ++routing.m_arrivals;
         if (!first)
             stats.m_rampStart = now;
     };
@@ -90,12 +90,12 @@
     return oldest;
 }
 
-EndpointStats* statsOf(RoutingState& routing, EndpointIndex endpoint, Incarnation incarnation)
+EndpointStats* statsOf(RoutingState& routing, EndpointIndex endpoint, std::uint64_t generation)
 {
     if (endpoint.value() >= routing.m_endpoints.size())
         return nullptr;
     EndpointStats& stats = routing.m_endpoints[endpoint.value()];
-    return stats.m_incarnation == incarnation ? &stats : nullptr;
+    return stats.m_generation == generation ? &stats : nullptr;
 }
 
 } // namespace flamingo
--- a/src/libflamingo/routing/routingstate.h
+++ b/src/libflamingo/routing/routingstate.h
@@ -48,6 +48,7 @@
     std::shared_ptr<const PublishedState> m_state;
     RoutingTable m_table;
     std::vector<EndpointStats> m_endpoints; // by EndpointIndex
+    std::uint64_t m_arrivals = 0; // endpoints and incarnations seen
     std::map<ServiceName, ServiceStats> m_services;
 };
 
@@ -75,7 +76,7 @@
 /** Returns the execution that has waited longest for a shard of the endpoint, which now has capacity. */
 std::optional<ExecutionId> longestWaiting(const RoutingState& routing, EndpointIndex endpoint);
 
-/** Returns the statistics of the endpoint if it still runs under the incarnation, else null. */
-EndpointStats* statsOf(RoutingState& routing, EndpointIndex endpoint, Incarnation incarnation);
+/** Returns the statistics of the endpoint if they still are of that generation, else null. */
+EndpointStats* statsOf(RoutingState& routing, EndpointIndex endpoint, std::uint64_t generation);
 
 } // namespace flamingo
--- a/src/libflamingo/routing/routingtable.cpp
+++ b/src/libflamingo/routing/routingtable.cpp
@@ -214,6 +214,7 @@
     snapshot = SnapshotRoutes();
     snapshot.m_version = layout.m_key.m_version;
     snapshot.m_layout = layout.m_key.m_layout;
+    snapshot.m_generation = ++table.m_layoutsSeen;
     snapshot.m_weights = layout.m_shardWeights;
     snapshot.m_totalWeight
         = std::accumulate(layout.m_shardWeights.begin(), layout.m_shardWeights.end(), std::uint64_t(0));
--- a/src/libflamingo/routing/routingtable.h
+++ b/src/libflamingo/routing/routingtable.h
@@ -38,6 +38,7 @@
 struct SnapshotRoutes {
     SnapshotVersion m_version;
     LayoutId m_layout;
+    std::uint64_t m_generation = 0; // tells a record that was erased and made anew from the first one
     std::vector<std::uint32_t> m_weights;
     std::uint64_t m_totalWeight = 0; // of the layout record
     std::uint64_t m_availableWeight = 0; // of shards with a replica that takes new work
@@ -65,6 +66,7 @@
     std::unordered_map<EndpointId, EndpointIndex> m_positions;
     std::unordered_map<ServiceName, std::vector<EndpointIndex>> m_members; // by the service that endpoints name
     std::map<ServiceName, ServiceRoutes> m_services;
+    std::uint64_t m_layoutsSeen = 0;
     std::uint64_t m_vmHash = 0; // of this daemon's name
     std::vector<std::uint64_t> m_vmHashes; // of admitted VMs, those that left lately included
     std::uint64_t m_vmGeneration = 1; // grows whenever m_vmHashes changes
--- a/src/libflamingo/routing/tests/routingtabletest.cpp
+++ b/src/libflamingo/routing/tests/routingtabletest.cpp
@@ -132,9 +132,10 @@
         addEndpoint(state, endpointRecord("e", 0));
         RoutingState routing = routingFor(state);
         statsFor(routing, "e").m_inFlight = 2;
+        const std::uint64_t generation = statsFor(routing, "e").m_generation;
         state.m_endpoints[EndpointId("e")].m_incarnation = Incarnation(2);
         applyPublishedState(routing, std::make_shared<PublishedState>(state), at(5));
         CHECK(statsFor(routing, "e").m_inFlight == 0);
-        CHECK(statsOf(routing, indexOf(routing, "e"), Incarnation(1)) == nullptr);
+        CHECK(statsOf(routing, indexOf(routing, "e"), generation) == nullptr);
     }
 }
