--- a/src/flamingoctl/tablewriter.cpp
+++ b/src/flamingoctl/tablewriter.cpp
@@ -54,6 +54,7 @@
         }
     }
     std::vector<std::size_t> widths;
+    widths.reserve(columns.size());
     for (const std::string& column : columns)
         widths.push_back(width(column));
     std::vector<std::vector<std::string>> lines;
--- a/src/libflamingo/daemon/statementexecutor.cpp
+++ b/src/libflamingo/daemon/statementexecutor.cpp
@@ -44,7 +44,7 @@
 {
     const auto promise = std::make_shared<std::promise<Held<StatusReply>>>();
     control.m_queryStatus(revision, controlTimeout, [promise](std::optional<StatusReply> reply, Reason reason) {
-        promise->set_value({ std::move(reply), std::move(reason) });
+        promise->set_value({ reply, std::move(reason) });
     });
     return promise->get_future().get();
 }
