--- /dev/null
+++ b/src/libflamingo/metrics/counter.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace flamingo {
+
+/** A number that only grows. Thread-safe and without locks. */
+class Counter {
+public:
+    /** Adds to the counter. */
+    void add(std::uint64_t count = 1) { m_value.fetch_add(count, std::memory_order_relaxed); }
+
+    /** Returns the current value. */
+    std::uint64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> m_value { 0 };
+};
+
+} // namespace flamingo
