Count upload bytes as the server reads them; bound links in a test

Bytes that wait in the kernel may belong to a later, pipelined request, so the upload guard no longer counts them.

--- a/src/libflamingo/api/uploadguard.cpp
+++ b/src/libflamingo/api/uploadguard.cpp
@@ -4,6 +4,7 @@
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -15,14 +16,20 @@
 constexpr Milliseconds checkInterval { 50 };
 // Wait for the caller to notice the refusal and stop sending.
 constexpr Milliseconds lingerTime { 1000 };
-// Headers, chunk sizes and what the kernel received before the request was first seen.
+// Headers, chunk sizes and what the server has read ahead.
 constexpr std::uint64_t headerAllowance = 64u << 10;
 
-std::uint64_t receivedBytes(int socket)
+// Bytes that the server has read from the socket. What waits in the kernel may belong to a later,
+// pipelined request.
+std::uint64_t consumedBytes(int socket)
 {
     tcp_info info {};
     socklen_t size = sizeof(info);
-    return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_bytes_received : 0;
+    int waiting = 0;
+    if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || ioctl(socket, FIONREAD, &waiting) != 0)
+        return 0;
+    const auto waitingBytes = static_cast<std::uint64_t>(waiting);
+    return info.tcpi_bytes_received > waitingBytes ? info.tcpi_bytes_received - waitingBytes : 0;
 }
 
 void answer(int socket, const char* status, ResultCode code, const std::string& text)
@@ -74,7 +81,7 @@
 {
     const std::lock_guard lock(m_mutex);
     connection->m_uploading = true;
-    connection->m_receivedBefore = receivedBytes(connection->m_socket);
+    connection->m_consumedBefore = consumedBytes(connection->m_socket);
     connection->m_since = std::chrono::steady_clock::now();
 }
 
@@ -106,8 +113,8 @@
     }
     if (!connection.m_uploading)
         return;
-    const std::uint64_t received = receivedBytes(connection.m_socket) - connection.m_receivedBefore;
-    if (received > m_maxBytes + headerAllowance)
+    const std::uint64_t consumed = consumedBytes(connection.m_socket);
+    if (consumed > connection.m_consumedBefore + m_maxBytes + headerAllowance)
         answer(connection.m_socket, "413 Payload Too Large", ResultCode::BodyTooLarge,
             "body exceeds the limit of " + std::to_string(m_maxBytes) + " bytes");
     else if (now - connection.m_since >= m_timeout)
--- a/src/libflamingo/api/uploadguard.h
+++ b/src/libflamingo/api/uploadguard.h
@@ -18,7 +18,7 @@
     bool m_uploading = false; // between the first line of a request and the end of its body
     bool m_refused = false;
     bool m_cutOff = false;
-    std::uint64_t m_receivedBefore = 0; // bytes received on the connection when the request began
+    std::uint64_t m_consumedBefore = 0; // bytes read from the connection when the request began
     MonotonicTime m_since; // begin of the request, then the time of the refusal
 };
 
@@ -26,9 +26,8 @@
  * Ends uploads that are too large or too slow.
  *
  * ulfius calls the application only after it has read a whole body, however long, and drops what
- * exceeds its limit silently. The guard counts the received bytes of each connection in the kernel
- * instead. It answers 413 or 408 itself, keeps reading for a moment so that the answer is not lost by
- * a reset, and then cuts the connection off.
+ * exceeds its limit silently. The guard counts the bytes read from each connection instead. It answers 413 or 408
+ * itself, keeps reading for a moment so that the answer is not lost by a reset, and then cuts the connection off.
  *
  * Thread-safe. A connection is removed before its socket is closed.
  */
--- a/src/libflamingo/link/tests/linktest.cpp
+++ b/src/libflamingo/link/tests/linktest.cpp
@@ -400,6 +400,23 @@
     }
 }
 
+TEST_CASE("a server bounds its links, counting handshakes")
+{
+    LinkLimits limits = shortLimits();
+    limits.m_maxLinks = 2;
+    Daemons daemons(limits);
+    RawPeer handshake(daemons);
+    REQUIRE(daemons.open(daemons.address()));
+    RawPeer beyond(daemons);
+    CHECK(daemons.runUntil([&] { return beyond.isClosed(); }));
+    CHECK(daemons.m_client.state() == LinkState::Open);
+    // The unfinished handshake ends in time and makes room.
+    CHECK(daemons.runUntil([&] { return handshake.isClosed(); }));
+    RawPeer next(daemons);
+    next.upgrade(daemons);
+    CHECK(daemons.m_server.linkCount() == 2);
+}
+
 TEST_CASE("a server that cannot listen says why")
 {
     boost::asio::io_context io;
--- a/src/libflamingo/metrics/processmetrics.cpp
+++ b/src/libflamingo/metrics/processmetrics.cpp
@@ -1,5 +1,6 @@
 #include "metrics/processmetrics.h"
 
+#include "base/log.h"
 #include "metrics/metricsregistry.h"
 
 #include <sys/resource.h>
@@ -55,6 +56,9 @@
         "process_cpu_seconds_total", "Processor time used, user and system.", [] { return processorSeconds(); });
     registry.observedGauge("process_resident_memory_bytes", "Resident memory.", [] { return residentBytes(); });
     registry.observedGauge("process_open_fds", "Open file descriptors.", [] { return entries("/proc/self/fd"); });
+    registry.observedCounter("flamingo_log_lines_dropped_total",
+        "Log lines dropped since too many were waiting to be written.",
+        [] { return static_cast<double>(droppedLogLines()); });
     registry.observedGauge("process_threads", "Threads.", [] { return entries("/proc/self/task"); });
 }
 
