Add request executions: claims, single sends and idempotent retries

Cause: requests that are not idempotent run at most once, and an answer of "not run" must be true.

Non-idempotent calls probe an ejected endpoint only when it refused connections or has not been probed for 30 s.

--- a/src/libflamingo/query/querysend.cpp
+++ b/src/libflamingo/query/querysend.cpp
@@ -171,7 +171,7 @@
         checkShardAt(step, index, step.m_now + settings.m_waitPoll);
         return;
     }
-    const ChoiceRequest request { snapshot->m_replicas[index.value()], shard.m_tried, true };
+    const ChoiceRequest request { snapshot->m_replicas[index.value()], shard.m_tried, ProbeUse::Allowed };
     const EndpointChoice choice
         = chooseEndpoint(step.m_context.m_routing, request, step.m_context.m_random, step.m_now);
     if (choice.m_endpoint) {
@@ -217,7 +217,7 @@
         return;
     if (shard.m_open < settings.m_callsInFlightPerShard) {
         const ShardIndex index = attempt.m_shard;
-        const ChoiceRequest request { snapshot->m_replicas[index.value()], shard.m_tried, false };
+        const ChoiceRequest request { snapshot->m_replicas[index.value()], shard.m_tried, ProbeUse::Never };
         const EndpointChoice choice
             = chooseEndpoint(step.m_context.m_routing, request, step.m_context.m_random, step.m_now);
         const auto endpoint = choice.m_endpoint ? choice.m_endpoint : sameReplica(step, attempt);
--- /dev/null
+++ b/src/libflamingo/request/requeststep.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "request/requestexecution.h"
+
+#include <string>
+
+namespace flamingo::detail {
+
+/** One call of stepRequest(). */
+struct RequestStep {
+    RequestExecution& m_execution;
+    RequestContext& m_context;
+    MonotonicTime m_now;
+    RequestEffects m_effects;
+
+    const ServiceRoutes* service() const;
+    ServiceStats& stats() const;
+    Microseconds hedgeAfter() const;
+    bool isQuarantined() const;
+    /** Returns whether an endpoint may have started the request. */
+    bool mayHaveRun() const { return m_execution.m_attempts.size() > m_execution.m_provenNotRun; }
+};
+
+// requestexecution.cpp
+void finishRequest(RequestStep& step, ResultCode code, std::string text);
+/** Ends a request that no endpoint started; settles its claim as not run. */
+void refuseRequest(RequestStep& step, ResultCode code, const std::string& text);
+
+// requestclaim.cpp
+void openClaim(RequestStep& step);
+void takeClaim(RequestStep& step, const ClaimDecided& event);
+void settleClaim(RequestStep& step, ClaimOutcome outcome, const std::string& answer);
+
+// requestsend.cpp
+/** Sends the next attempt if one is due and an endpoint can take it. */
+void advanceRequest(RequestStep& step);
+void takeRequestReply(RequestStep& step, CallReplied event);
+void cancelRequestCalls(RequestStep& step);
+/** Ends the request at its deadline. */
+void expireRequest(RequestStep& step);
+
+} // namespace flamingo::detail
--- a/src/libflamingo/routing/attempt.cpp
+++ b/src/libflamingo/routing/attempt.cpp
@@ -70,8 +70,9 @@
             return CallVerdict::Shed;
         return reply.m_status == 200 ? CallVerdict::Answered : CallVerdict::Failed;
     case CallOutcome::NotSent:
+        return CallVerdict::NotReached;
     case CallOutcome::ConnectionLost:
-        return CallVerdict::Unreachable;
+        return CallVerdict::Disconnected;
     case CallOutcome::TimedOut:
         return CallVerdict::Failed;
     case CallOutcome::Cancelled:
--- a/src/libflamingo/routing/endpointchoice.cpp
+++ b/src/libflamingo/routing/endpointchoice.cpp
@@ -122,6 +122,13 @@
         choice.m_retryAt = at;
 }
 
+bool mayProbe(const RoutingState& routing, const ChoiceRequest& request, const EndpointStats& stats, MonotonicTime now)
+{
+    if (request.m_probes == ProbeUse::Harmless)
+        return stats.m_refusesConnections || now >= stats.m_ejectedUntil + routing.m_settings.m_longestEjection;
+    return request.m_probes == ProbeUse::Allowed;
+}
+
 void sortEjected(RoutingState& routing, const ChoiceRequest& request, EndpointIndex index, Sorted& sorted,
     EndpointChoice& choice, MonotonicTime now)
 {
@@ -132,7 +139,7 @@
     }
     if (now < stats.m_ejectedUntil)
         noteRetryAt(choice, stats.m_ejectedUntil);
-    else if (!stats.m_probing && request.m_mayProbe)
+    else if (!stats.m_probing && mayProbe(routing, request, stats, now))
         sorted.m_probe = index;
     if (!sorted.m_lastResort || stats.m_ejectedUntil < statsAt(routing, *sorted.m_lastResort).m_ejectedUntil)
         sorted.m_lastResort = index;
@@ -148,7 +155,7 @@
             continue;
         const bool excluded = contains(request.m_excluded, index);
         // A retry has no other replica in service than those not tried yet; a hedge still waits for one.
-        if (!stats.m_ejected && (!excluded || !request.m_mayProbe))
+        if (!stats.m_ejected && (!excluded || request.m_probes == ProbeUse::Never))
             sorted.m_anyInService = true;
         if (excluded)
             continue;
--- a/src/libflamingo/routing/endpointchoice.h
+++ b/src/libflamingo/routing/endpointchoice.h
@@ -21,11 +21,20 @@
     std::optional<MonotonicTime> m_retryAt;
 };
 
+/** Whether a call may be the probe of an ejected endpoint. */
+enum class ProbeUse {
+    Never, // hedges, which must not wait for an ejected endpoint
+    // Requests that are not idempotent: only if the endpoint refused connections, so that a failed probe
+    // is not sent, or if nothing else has probed it for the longest ejection.
+    Harmless,
+    Allowed,
+};
+
 /** What the caller of chooseEndpoint() wants. */
 struct ChoiceRequest {
     const std::vector<EndpointIndex>& m_replicas; // of the shard in the fixed snapshot and layout
     const std::vector<EndpointIndex>& m_excluded; // tried already
-    bool m_mayProbe = true; // false for hedges, which must not wait for an ejected endpoint
+    ProbeUse m_probes = ProbeUse::Allowed;
 };
 
 /** Returns whether the endpoint can take a call now: not draining, ejected, refusing or at its bound. */
--- a/src/libflamingo/routing/endpointstats.cpp
+++ b/src/libflamingo/routing/endpointstats.cpp
@@ -80,12 +80,15 @@
         stats.m_refusedUntil = std::max(stats.m_refusedUntil, now + std::min(wait, settings.m_longestRefusal));
         break;
     }
-    case CallVerdict::Unreachable:
+    case CallVerdict::NotReached:
+    case CallVerdict::Disconnected:
         ++stats.m_failuresInRow;
+        stats.m_refusesConnections = end.m_verdict == CallVerdict::NotReached;
         noteBadEnd(stats, true, end.m_probe, settings, now);
         break;
     case CallVerdict::Failed:
         ++stats.m_failuresInRow;
+        stats.m_refusesConnections = false;
         updateLatency(stats, end.m_elapsed, settings);
         noteBadEnd(stats, stats.m_failuresInRow >= settings.m_failuresToEject, end.m_probe, settings, now);
         break;
@@ -93,6 +96,7 @@
         // The time until the cancellation is a lower bound of the latency.
         updateLatency(stats, end.m_elapsed, settings);
         ++stats.m_lostRacesInRow;
+        stats.m_refusesConnections = false;
         noteBadEnd(stats, stats.m_lostRacesInRow >= settings.m_lostRacesToEject, end.m_probe, settings, now);
         break;
     case CallVerdict::Abandoned:
--- a/src/libflamingo/routing/endpointstats.h
+++ b/src/libflamingo/routing/endpointstats.h
@@ -27,6 +27,7 @@
     MonotonicTime m_ejectedUntil {}; // then one probe may be sent
     Milliseconds m_ejection { 0 }; // length of the last ejection
     bool m_probing = false; // a probe is in flight
+    bool m_refusesConnections = false; // a probe that fails would not be sent at all
 
     // Requests in flight here that have already crashed another endpoint.
     std::uint32_t m_suspects = 0;
@@ -36,7 +37,8 @@
 enum class CallVerdict {
     Answered, // a whole, matching, well-formed answer
     Shed, // the endpoint refused before running
-    Unreachable, // no connection, or the connection was lost
+    NotReached, // no connection, so nothing was sent
+    Disconnected, // the connection was lost after sending
     Failed, // timed out, an error status, or an answer that cannot be used
     LostRace, // cancelled because a later attempt answered first
     Abandoned, // cancelled for a reason that says nothing about the endpoint
--- a/src/libflamingo/routing/tests/endpointchoicetest.cpp
+++ b/src/libflamingo/routing/tests/endpointchoicetest.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 std::string chosen(RoutingState& routing, RandomEngine& random, MonotonicTime now,
-    const std::vector<EndpointIndex>& excluded = {}, bool mayProbe = true)
+    const std::vector<EndpointIndex>& excluded = {}, ProbeUse probes = ProbeUse::Allowed)
 {
     const auto& snapshot = findService(routing.m_table, verses)->m_snapshots.begin()->second;
-    const EndpointChoice choice = chooseEndpoint(routing, { snapshot.m_replicas[0], excluded, mayProbe }, random, now);
+    const EndpointChoice choice = chooseEndpoint(routing, { snapshot.m_replicas[0], excluded, probes }, random, now);
     return choice.m_endpoint ? routing.m_table.m_endpoints[choice.m_endpoint->value()].m_id.value() : "none";
 }
 
@@ -55,7 +55,7 @@
             }
             SECTION("ejected after a lost connection")
             {
-                fail(statsFor(routing, "near"), CallVerdict::Unreachable, routing.m_settings, at(0));
+                fail(statsFor(routing, "near"), CallVerdict::Disconnected, routing.m_settings, at(0));
             }
             CHECK(chosen(routing, random, at(10)) == "far");
         }
@@ -74,7 +74,7 @@
     {
         RoutingState routing = routingFor(state);
         for (const char* id : { "near", "far" })
-            fail(statsFor(routing, id), CallVerdict::Unreachable, routing.m_settings, at(0));
+            fail(statsFor(routing, id), CallVerdict::Disconnected, routing.m_settings, at(0));
         CHECK(chosen(routing, random, at(1)) != "none");
     }
 
@@ -118,14 +118,22 @@
     addEndpoint(state, endpointRecord("good", 0));
     RoutingState routing = routingFor(state);
     EndpointStats& bad = statsFor(routing, "bad");
-    fail(bad, CallVerdict::Unreachable, routing.m_settings, at(0));
+    fail(bad, CallVerdict::Disconnected, routing.m_settings, at(0));
     REQUIRE(bad.m_ejected);
 
     SECTION("guards against traffic to it before the ejection ends, and against a hedge as probe")
     {
         for (int i = 0; i < 50; ++i)
             CHECK(chosen(routing, random, at(499)) == "good");
-        CHECK(chosen(routing, random, at(501), {}, false) == "good");
+        CHECK(chosen(routing, random, at(501), {}, ProbeUse::Never) == "good");
+    }
+
+    SECTION("guards against an order lost to a probe, and against an endpoint of orders that never returns")
+    {
+        CHECK(chosen(routing, random, at(501), {}, ProbeUse::Harmless) == "good");
+        CHECK(chosen(routing, random, at(31000), {}, ProbeUse::Harmless) == "bad");
+        fail(bad, CallVerdict::NotReached, routing.m_settings, at(31000));
+        CHECK(chosen(routing, random, at(32000), {}, ProbeUse::Harmless) == "bad");
     }
 
     SECTION("guards against more than one probe at a time")
@@ -160,7 +168,7 @@
         noteCallSent(good);
         noteCallSent(good);
         CallEnd lost;
-        lost.m_verdict = CallVerdict::Unreachable;
+        lost.m_verdict = CallVerdict::Disconnected;
         noteCallEnded(good, lost, routing.m_settings, at(0));
         CallEnd answered;
         answered.m_verdict = CallVerdict::Answered;
