--- a/src/libflamingo/request/requesteffect.h
+++ b/src/libflamingo/request/requesteffect.h
@@ -1,49 +1,23 @@
 #pragma once
 
-#include "base/ids.h"
-#include "base/time.h"
-#include "control/command.h"
-#include "endpoint/endpointcall.h"
 #include "request/calleranswer.h"
+#include "routing/executioneffects.h"
 
 #include <variant>
 #include <vector>
 
 namespace flamingo {
 
-/** Asks the control leader for the right to send once; its result comes back as ClaimAnswered. */
-struct AskClaim {
-    OpenClaim m_claim;
-};
-
-/** Sends a call to an endpoint; its end comes back as RequestReplied. */
-struct SendRequestCall {
-    EndpointCall m_call;
-};
-
-/** Cancels a call; its end still comes back as RequestReplied. */
-struct CancelRequestCall {
-    AttemptNumber m_attempt;
-};
-
-/** Asks for RequestTimer at the time. Replaces the timer asked for before. */
-struct SetRequestTimer {
-    MonotonicTime m_at;
-};
-
-/** Says that a suspected fingerprint succeeded; the loop proposes ClearSuspect. */
-struct RequestSucceeded {
-    Fingerprint m_fingerprint;
-};
-
-/** Answers the caller. The execution is over and takes no further events. */
+/** Answers the caller. The execution may still wait for the result of its claim; see isRequestOver(). */
 struct FinishRequest {
     CallerAnswer m_answer;
 };
 
-// SettleClaim and ReportDeath are the commands to propose.
-using RequestEffect = std::variant<AskClaim, SendRequestCall, CancelRequestCall, SetRequestTimer, RequestSucceeded,
-    SettleClaim, ReportDeath, FinishRequest>;
+// OpenClaim is the command to propose under a command id of its own; its result comes back as
+// ClaimDecided. SettleClaim is to be proposed until it is applied or this VM's lease ends; it comes before
+// the FinishRequest that states the same outcome.
+using RequestEffect = std::variant<OpenClaim, SettleClaim, SendCall, CancelCall, SetTimer, FinishRequest, ReportDeath,
+    MarkSuccess, WakeExecution>;
 using RequestEffects = std::vector<RequestEffect>;
 
 } // namespace flamingo
--- a/src/libflamingo/request/requestevent.h
+++ b/src/libflamingo/request/requestevent.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "base/ids.h"
 #include "control/commandresult.h"
-#include "endpoint/endpointcall.h"
+#include "routing/executionevents.h"
 
 #include <variant>
 
@@ -11,20 +10,20 @@
 /** The first event of each execution. */
 struct RequestStarted { };
 
-/** The control leader answered AskClaim, or did not in time. */
-struct ClaimAnswered {
+/**
+ * The OpenClaim of the execution has been applied, or refused before it could be.
+ *
+ * When the outcome of the command is unknown, the loop resends it under the same command id and passes
+ * this event once the result is known, also after FinishRequest.
+ */
+struct ClaimDecided {
+    // The claim was opened by this very command. Otherwise the result says why not: Ok with the recorded
+    // answer of an earlier run, StillRunning, OutcomeUnknown, or a refusal.
+    bool m_opened = false;
     CommandResult m_result;
 };
 
-/** A call of the execution ended. */
-struct RequestReplied {
-    AttemptNumber m_attempt;
-    EndpointReply m_reply;
-};
-
-/** The time of the last SetRequestTimer has come. */
-struct RequestTimer { };
-
-using RequestEvent = std::variant<RequestStarted, ClaimAnswered, RequestReplied, RequestTimer>;
+using RequestEvent = std::variant<RequestStarted, ClaimDecided, CallReplied, TimerExpired, StateChanged, CapacityFreed,
+    QuarantineDecided>;
 
 } // namespace flamingo
--- a/src/libflamingo/request/requestexecution.cpp
+++ b/src/libflamingo/request/requestexecution.cpp
@@ -1,266 +1,140 @@
 #include "request/requestexecution.h"
 
 #include "base/hash.h"
-#include "control/requestid.h"
+#include "request/requestid.h"
+#include "request/requeststep.h"
 
 #include <algorithm>
 
 namespace flamingo {
 
-namespace {
-
-// A busy service is looked at again after this time.
-constexpr Milliseconds busyPoll { 5 };
-// Idempotent requests give up after this many calls, whatever the budget allows.
-constexpr std::size_t maximumAttempts = 4;
-constexpr unsigned httpOk = 200;
+namespace detail {
 
-struct Step {
-    RequestExecution& m_execution;
-    RequestContext& m_context;
-    MonotonicTime m_now;
-    RequestEffects m_effects;
-};
-
-SettleClaim settlement(const Step& step, ClaimOutcome outcome, std::string answer = {})
-{
-    SettleClaim settle;
-    settle.m_service = step.m_execution.m_request.m_service;
-    settle.m_request = step.m_execution.m_request.m_id;
-    settle.m_outcome = outcome;
-    settle.m_answer = std::move(answer);
-    settle.m_bodyHash = hashBytes(step.m_execution.m_request.m_body);
-    return settle;
-}
+namespace {
 
-void finish(Step& step, ResultCode code, std::string text, std::string answer = {}, bool recorded = false)
+void startRequest(RequestStep& step)
 {
     RequestExecution& execution = step.m_execution;
-    execution.m_phase = RequestPhase::Finished;
-    CallerAnswer result;
-    result.m_code = code;
-    result.m_text = std::move(text);
-    result.m_id = execution.m_request.m_id;
-    result.m_configurationVersion = step.m_context.m_routing.m_table.m_configurationVersion;
-    result.m_answer = std::move(answer);
-    result.m_recorded = recorded;
-    result.m_retryAfter = execution.m_retryAfter;
-    step.m_effects.emplace_back(FinishRequest { std::move(result) });
-}
-
-// The claim is given back first, so that the caller may claim the same request id again.
-void finishNotRun(Step& step, ResultCode code, std::string text)
-{
-    if (step.m_execution.m_claimed)
-        step.m_effects.emplace_back(settlement(step, ClaimOutcome::NotRun));
-    finish(step, code, std::move(text));
+    const CallerRequest& request = execution.m_request;
+    execution.m_startedAt = step.m_now;
+    execution.m_deadline = step.m_now;
+    execution.m_fingerprint = requestFingerprint(request.m_service, request.m_kind, request.m_body);
+    if (!step.m_context.m_leaseValid)
+        return refuseRequest(step, ResultCode::NoLease, "this VM holds no valid lease");
+    const ServiceRoutes* service = step.service();
+    if (!service)
+        return finishRequest(step, ResultCode::UnknownService, "unknown service \"" + request.m_service.value() + "\"");
+    const auto kind = service->m_definition.m_kinds.find(request.m_kind);
+    if (kind == service->m_definition.m_kinds.end())
+        return finishRequest(step, ResultCode::UnknownKind,
+            "the service \"" + request.m_service.value() + "\" declares no request kind \"" + request.m_kind + "\"");
+    execution.m_idempotent = kind->second == Idempotence::Idempotent;
+    Reason reason;
+    if (!execution.m_idempotent && !isRequestIdCurrent(request.m_id, step.m_context.m_logTime, reason))
+        return finishRequest(step, reason.m_code, reason.m_text);
+    if (step.isQuarantined()
+        || canaryCaution(step.m_context.m_fingerprints, execution.m_fingerprint, step.m_now) == CanaryCaution::Refuse)
+        return refuseRequest(step, ResultCode::Quarantined, "the request crashed two endpoints");
+    const Milliseconds deadline = request.m_deadline.value_or(service->m_definition.m_deadline);
+    if (deadline <= Milliseconds(0))
+        return refuseRequest(step, ResultCode::DeadlineTooShort, "the deadline must be at least 1 ms");
+    execution.m_deadline = step.m_now + std::min(deadline, step.m_context.m_settings.m_longestDeadline);
+    if (!execution.m_idempotent)
+        return openClaim(step);
+    execution.m_phase = RequestPhase::Sending;
+    advanceRequest(step);
 }
 
-void finishUnknown(Step& step, const std::string& cause)
+void armTimer(RequestStep& step)
 {
-    if (step.m_execution.m_claimed)
-        step.m_effects.emplace_back(settlement(step, ClaimOutcome::Unknown));
-    if (step.m_execution.m_idempotent)
-        finish(step, ResultCode::EndpointFailed, cause);
-    else
-        finish(step, ResultCode::OutcomeUnknown, "outcome unknown, will not run again: " + cause);
+    RequestExecution& execution = step.m_execution;
+    if (execution.m_phase == RequestPhase::Finished)
+        return;
+    MonotonicTime next = execution.m_deadline;
+    if (execution.m_nextLook)
+        next = std::min(next, *execution.m_nextLook);
+    if (execution.m_timerAt && *execution.m_timerAt <= next)
+        return;
+    execution.m_timerAt = next;
+    step.m_effects.emplace_back(SetTimer { next });
 }
 
-void finishWithoutSend(Step& step, ResultCode code, const char* text)
-{
-    if (step.m_execution.m_mayHaveRun)
-        finishUnknown(step, text);
-    else
-        finishNotRun(step, code, text);
-}
+struct EventTaker {
+    RequestStep& m_step;
 
-// Endpoints that hold shard 0 of the newest snapshot that is complete, or of the fullest one.
-const std::vector<EndpointIndex>* candidates(Step& step)
-{
-    const ServiceRoutes* service = findService(step.m_context.m_routing.m_table, step.m_execution.m_request.m_service);
-    if (service == nullptr)
-        return nullptr;
-    const SnapshotRoutes* best = nullptr;
-    for (const auto& [id, routes] : service->m_snapshots) {
-        if (routes.m_replicas.empty() || routes.m_totalWeight == 0)
-            continue;
-        // m_snapshots begins with the newest, so only a fuller one replaces it.
-        if (best == nullptr
-            || routes.m_availableWeight * best->m_totalWeight > best->m_availableWeight * routes.m_totalWeight)
-            best = &routes;
+    void operator()(RequestStarted&)
+    {
+        if (m_step.m_execution.m_phase == RequestPhase::Idle)
+            startRequest(m_step);
     }
-    if (best == nullptr)
-        return nullptr;
-    step.m_execution.m_version = best->m_version;
-    step.m_execution.m_layout = best->m_layout;
-    return &best->m_replicas.front();
-}
+    void operator()(ClaimDecided& event) { takeClaim(m_step, event); }
+    void operator()(CallReplied& event) { takeRequestReply(m_step, std::move(event)); }
+    void operator()(TimerExpired&)
+    {
+        m_step.m_execution.m_timerAt.reset();
+        if (m_step.m_execution.m_nextLook && *m_step.m_execution.m_nextLook <= m_step.m_now) {
+            m_step.m_execution.m_nextLook.reset();
+            advanceRequest(m_step);
+        }
+    }
+    void operator()(StateChanged&) { advanceRequest(m_step); }
+    void operator()(CapacityFreed&) { advanceRequest(m_step); }
+    void operator()(QuarantineDecided& event)
+    {
+        ++m_step.m_execution.m_decisions;
+        if (event.m_quarantined && m_step.m_execution.m_open == 0)
+            return refuseRequest(m_step, ResultCode::Quarantined, "the request crashed two endpoints");
+        if (m_step.m_execution.m_decisions >= m_step.m_execution.m_reports)
+            m_step.m_execution.m_notBefore = MonotonicTime {};
+        advanceRequest(m_step);
+    }
+};
 
-void sendTo(Step& step, EndpointIndex endpoint)
-{
-    RequestExecution& execution = step.m_execution;
-    RoutingState& routing = step.m_context.m_routing;
-    execution.m_attempts.push_back({ beginAttempt(routing, endpoint, false, step.m_now), endpoint });
-    EndpointCall call;
-    addressCall(routing, endpoint, call);
-    call.m_path = "/shard/request";
-    call.m_request = execution.m_request.m_id;
-    call.m_attempt = AttemptNumber(static_cast<std::uint32_t>(execution.m_attempts.size()));
-    call.m_snapshot = execution.m_version;
-    call.m_layout = execution.m_layout;
-    call.m_shard = ShardIndex(0);
-    call.m_kind = execution.m_request.m_kind;
-    call.m_body = execution.m_request.m_body;
-    call.m_deadline = execution.m_deadline;
-    call.m_freshConnection = !execution.m_idempotent;
-    call.m_provenConnection = execution.m_idempotent && execution.m_attempts.size() > 1;
-    step.m_effects.emplace_back(SendRequestCall { std::move(call) });
-}
+} // namespace
 
-void waitUntil(Step& step, MonotonicTime at)
+const ServiceRoutes* RequestStep::service() const
 {
-    step.m_effects.emplace_back(SetRequestTimer { std::min(at, step.m_execution.m_deadline) });
+    return findService(m_context.m_routing.m_table, m_execution.m_request.m_service);
 }
 
-void trySend(Step& step)
-{
-    RequestExecution& execution = step.m_execution;
-    if (!step.m_context.m_leaseValid)
-        return finishWithoutSend(step, ResultCode::NoLease, "this VM lost its lease before the request was sent");
-    if (step.m_now >= execution.m_deadline)
-        return finishWithoutSend(step, ResultCode::DeadlineTooShort, "the deadline passed before the request was sent");
-    const std::vector<EndpointIndex>* replicas = candidates(step);
-    if (replicas == nullptr || replicas->empty())
-        return finishWithoutSend(step, ResultCode::NoEndpoint, "no endpoint of the service is known");
-    const EndpointChoice choice = chooseEndpoint(
-        step.m_context.m_routing, { *replicas, execution.m_tried, true }, step.m_context.m_random, step.m_now);
-    if (choice.m_endpoint)
-        return sendTo(step, *choice.m_endpoint);
-    if (choice.m_busy || choice.m_retryAt)
-        return waitUntil(step, choice.m_retryAt.value_or(step.m_now + busyPoll));
-    if (execution.m_refusedByEndpoint)
-        return finishWithoutSend(step, ResultCode::EndpointRefused, "all endpoints refused the request");
-    finishWithoutSend(step, ResultCode::NoEndpoint, "no endpoint of the service takes new work");
-}
+ServiceStats& RequestStep::stats() const { return serviceStats(m_context.m_routing, m_execution.m_request.m_service); }
 
-std::optional<Reason> checkRequest(Step& step)
-{
-    RequestExecution& execution = step.m_execution;
-    const RoutingState& routing = step.m_context.m_routing;
-    const ServiceRoutes* service = findService(routing.m_table, execution.m_request.m_service);
-    if (service == nullptr)
-        return Reason { ResultCode::UnknownService, "unknown service " + execution.m_request.m_service.value() };
-    const auto kind = service->m_definition.m_kinds.find(execution.m_request.m_kind);
-    if (kind == service->m_definition.m_kinds.end())
-        return Reason { ResultCode::UnknownKind,
-            "service " + execution.m_request.m_service.value() + " declares no request kind "
-                + execution.m_request.m_kind };
-    execution.m_idempotent = kind->second == Idempotence::Idempotent;
-    Reason reason;
-    if (!execution.m_idempotent && !requestIdSeconds(execution.m_request.m_id, reason))
-        return reason;
-    if (routing.m_state->m_quarantine.count(execution.m_fingerprint) > 0)
-        return Reason { ResultCode::Quarantined, "the request crashed two endpoints and is quarantined" };
-    execution.m_deadline = step.m_now + execution.m_request.m_deadline.value_or(service->m_definition.m_deadline);
-    return std::nullopt;
-}
+Microseconds RequestStep::hedgeAfter() const { return hedgeDelay(stats().m_latency, m_context.m_routing.m_settings); }
 
-void start(Step& step)
+bool RequestStep::isQuarantined() const
 {
-    RequestExecution& execution = step.m_execution;
-    execution.m_fingerprint
-        = requestFingerprint(execution.m_request.m_service, execution.m_request.m_kind, execution.m_request.m_body);
-    if (const auto refused = checkRequest(step))
-        return finish(step, refused->m_code, refused->m_text);
-    if (!step.m_context.m_leaseValid)
-        return finish(step, ResultCode::NoLease, "this VM holds no valid lease");
-    if (execution.m_idempotent) {
-        execution.m_phase = RequestPhase::Sending;
-        earnExtraLoad(serviceStats(step.m_context.m_routing, execution.m_request.m_service).m_budget);
-        return trySend(step);
-    }
-    execution.m_phase = RequestPhase::Claiming;
-    OpenClaim claim;
-    claim.m_service = execution.m_request.m_service;
-    claim.m_request = execution.m_request.m_id;
-    claim.m_bodyHash = hashBytes(execution.m_request.m_body);
-    step.m_effects.emplace_back(AskClaim { std::move(claim) });
+    return m_context.m_routing.m_state->m_quarantine.count(m_execution.m_fingerprint) > 0;
 }
 
-void takeClaim(Step& step, const CommandResult& result)
+void finishRequest(RequestStep& step, ResultCode code, std::string text)
 {
     RequestExecution& execution = step.m_execution;
-    if (execution.m_phase != RequestPhase::Claiming)
+    if (execution.m_phase == RequestPhase::Finished)
         return;
-    if (result.m_code != ResultCode::Ok)
-        return finish(step, result.m_code, result.m_text);
-    if (!result.m_claimOpened)
-        return finish(step, ResultCode::Ok, {}, result.m_text, true);
-    execution.m_claimed = true;
-    execution.m_phase = RequestPhase::Sending;
-    trySend(step);
+    execution.m_phase = RequestPhase::Finished;
+    FinishRequest finish;
+    finish.m_answer.m_code = code;
+    finish.m_answer.m_text = std::move(text);
+    finish.m_answer.m_id = execution.m_request.m_id;
+    finish.m_answer.m_configurationVersion = step.m_context.m_routing.m_table.m_configurationVersion;
+    if (resultClass(code) == ResultClass::NotRun)
+        finish.m_answer.m_retryAfter = execution.m_shedRetryAfter;
+    step.m_effects.emplace_back(std::move(finish));
 }
 
-void reportDeath(Step& step, const Attempt& attempt)
+void refuseRequest(RequestStep& step, ResultCode code, const std::string& text)
 {
-    RequestExecution& execution = step.m_execution;
-    if (isKnownGood(step.m_context.m_fingerprints, execution.m_fingerprint))
+    if (step.m_execution.m_phase == RequestPhase::Finished)
         return;
-    noteDeath(step.m_context.m_fingerprints, execution.m_fingerprint, attempt.m_endpointId, step.m_now);
-    step.m_effects.emplace_back(ReportDeath {
-        attempt.m_endpointId, attempt.m_incarnation, execution.m_request.m_service, { execution.m_fingerprint } });
+    cancelRequestCalls(step);
+    // Only an idempotent request gets here after an endpoint may have started it.
+    if (step.mayHaveRun())
+        return finishRequest(step, ResultCode::EndpointFailed, "failed: " + text);
+    settleClaim(step, ClaimOutcome::NotRun, {});
+    finishRequest(step, code, "not run: " + text);
 }
 
-void succeed(Step& step, std::string body)
-{
-    RequestExecution& execution = step.m_execution;
-    if (noteSuccess(step.m_context.m_fingerprints, execution.m_fingerprint))
-        step.m_effects.emplace_back(RequestSucceeded { execution.m_fingerprint });
-    if (execution.m_claimed)
-        step.m_effects.emplace_back(settlement(step, ClaimOutcome::Done, body));
-    finish(step, ResultCode::Ok, {}, std::move(body));
-}
-
-bool mayRetry(Step& step)
-{
-    RequestExecution& execution = step.m_execution;
-    if (!execution.m_idempotent || execution.m_attempts.size() >= maximumAttempts)
-        return false;
-    return spendExtraLoad(serviceStats(step.m_context.m_routing, execution.m_request.m_service).m_budget);
-}
-
-bool matches(const RequestExecution& execution, AttemptNumber attempt, const EndpointReply& reply)
-{
-    return reply.m_request == execution.m_request.m_id && reply.m_attempt == attempt;
-}
-
-void takeReply(Step& step, RequestReplied event)
-{
-    RequestExecution& execution = step.m_execution;
-    RequestAttempt& sent = execution.m_attempts.at(event.m_attempt.value() - 1);
-    const EndpointReply& reply = event.m_reply;
-    endAttempt(
-        step.m_context.m_routing, execution.m_request.m_service, sent.m_attempt, verdictOf(reply), &reply, step.m_now);
-    const bool answered = reply.m_outcome == CallOutcome::Answered;
-    if (answered && reply.m_status == httpOk && matches(execution, event.m_attempt, reply))
-        return succeed(step, std::move(event.m_reply.m_body));
-    execution.m_tried.push_back(sent.m_endpoint);
-    if (provesNotRun(reply)) {
-        execution.m_refusedByEndpoint = execution.m_refusedByEndpoint || answered;
-        execution.m_retryAfter = std::max(execution.m_retryAfter, reply.m_retryAfter);
-        return trySend(step);
-    }
-    execution.m_mayHaveRun = true;
-    if (reply.m_outcome == CallOutcome::ConnectionLost)
-        reportDeath(step, sent.m_attempt);
-    const std::string cause
-        = answered ? "the endpoint answered with HTTP status " + std::to_string(reply.m_status) : reply.m_text;
-    if (!mayRetry(step))
-        return finishUnknown(step, cause.empty() ? "no whole answer came from the endpoint" : cause);
-    trySend(step);
-}
-
-} // namespace
+} // namespace detail
 
 RequestExecution makeRequestExecution(ExecutionId id, CallerRequest request)
 {
@@ -272,18 +146,24 @@
 
 RequestEffects stepRequest(RequestExecution& execution, RequestEvent event, RequestContext& context, MonotonicTime now)
 {
-    Step step { execution, context, now, {} };
-    if (execution.m_phase == RequestPhase::Finished)
+    detail::RequestStep step { execution, context, now, {} };
+    if (execution.m_phase == RequestPhase::Finished && std::holds_alternative<CallReplied>(event)) {
+        ++step.stats().m_counters.m_droppedReplies;
+        return {};
+    }
+    if (execution.m_phase == RequestPhase::Finished && !std::holds_alternative<ClaimDecided>(event))
         return {};
-    if (std::holds_alternative<RequestStarted>(event))
-        start(step);
-    else if (const auto* claim = std::get_if<ClaimAnswered>(&event))
-        takeClaim(step, claim->m_result);
-    else if (auto* replied = std::get_if<RequestReplied>(&event))
-        takeReply(step, std::move(*replied));
-    else if (execution.m_phase == RequestPhase::Sending)
-        trySend(step);
+    std::visit(detail::EventTaker { step }, event);
+    const bool active = execution.m_phase == RequestPhase::Claiming || execution.m_phase == RequestPhase::Sending;
+    if (active && now >= execution.m_deadline)
+        detail::expireRequest(step);
+    detail::armTimer(step);
     return std::move(step.m_effects);
 }
 
+bool isRequestOver(const RequestExecution& execution)
+{
+    return execution.m_phase == RequestPhase::Finished && !execution.m_claimPending && !execution.m_claimOpen;
+}
+
 } // namespace flamingo
