Add an open-loop load tool with the naive fan-out as its baseline

The baseline sends the same plan straight to the stub endpoints: random replica, no hedge, wait for all. bench/load/run.sh starts daemons and stubs at the sizes of the sites and applies the faults.

--- /dev/null
+++ b/bench/load/openloop.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "load/measurement.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+
+namespace flamingo::bench {
+
+using QuerySender = std::function<void(std::size_t index)>;
+
+/** Calls the sender at each planned time, without regard to earlier queries. */
+class OpenLoop {
+public:
+    OpenLoop(boost::asio::io_context& context, const std::vector<PlannedQuery>& plan, QuerySender sender)
+        : m_plan(plan)
+        , m_sender(std::move(sender))
+        , m_timer(context)
+    {
+    }
+
+    void start()
+    {
+        m_startedAt = std::chrono::steady_clock::now();
+        schedule();
+    }
+
+    MonotonicTime intended(std::size_t index) const { return m_startedAt + m_plan[index].m_at; }
+
+private:
+    void schedule()
+    {
+        if (m_next == m_plan.size())
+            return;
+        m_timer.expires_at(intended(m_next));
+        m_timer.async_wait([this](const boost::system::error_code& error) {
+            if (error)
+                return;
+            while (m_next < m_plan.size() && intended(m_next) <= std::chrono::steady_clock::now())
+                m_sender(m_next++);
+            schedule();
+        });
+    }
+
+    const std::vector<PlannedQuery>& m_plan;
+    QuerySender m_sender;
+    boost::asio::steady_timer m_timer;
+    MonotonicTime m_startedAt;
+    std::size_t m_next = 0;
+};
+
+} // namespace flamingo::bench
--- /dev/null
+++ b/bench/load/run.sh
@@ -0,0 +1,186 @@
+#!/usr/bin/env bash
+# Starts three daemons and stub endpoints of one service on loopback and measures it, healthy and under
+# faults, with the naive fan-out as the baseline of each run. Ends by itself.
+#
+# Usage: bench/load/run.sh BUILD_DIRECTORY SITE [CASE...]
+# SITE: verses (20 shards), dispatch (30 shards), wide (400 shards).
+# CASE: healthy slow silent shedding lying cold overload; all by default.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+build=$(realpath "${1:?build directory}")
+site=${2:?site}
+shift 2
+cases=${*:-healthy slow silent shedding lying cold overload}
+out=${OUT:-$build/load}
+mkdir -p "$out"
+median=${MEDIAN_MS:-2}
+p99=${P99_MS:-6}
+service_options=${SERVICE_OPTIONS:-prefer = full, deadline = 500 ms}
+spare_endpoints=${SPARE_ENDPOINTS:-0} # idle endpoints of another service
+seconds=${SECONDS_PER_RUN:-5}
+case $site in
+    verses) shards=20 rate=${RATE:-100} ;;
+    dispatch) shards=30 rate=${RATE:-100} ;;
+    wide) shards=400 rate=${RATE:-10} ;;
+    *) echo "unknown site $site" >&2; exit 2 ;;
+esac
+shards=${SHARDS:-$shards}
+net=127.$((64 + $$ % 64)).$(($$ / 64 % 240))
+folder=$(mktemp -d)
+pids=()
+finish() {
+    local status=$?
+    for pid in "${pids[@]}"; do kill "$pid" 2> /dev/null || true; done
+    wait
+    [ $status -eq 0 ] || tail -n 5 "$folder"/*.log
+    rm -rf "$folder"
+}
+trap finish EXIT
+
+daemons=()
+daemon_pids=()
+members=""
+for vm in 1 2 3; do
+    members+="    - { vm: vm$vm, address: \"$net.$vm:8401\" }"$'\n'
+    daemons+=("$net.$vm:8400")
+done
+for vm in 1 2 3; do
+    cat > "$folder/vm$vm.yaml" << SETTINGS
+vm: { id: vm$vm, data_centre: dc$vm }
+entry: { listen: $net.$vm, port: 8400 }
+roles: [entry, control]
+control:
+  listen: $net.$vm:8401
+  data_folder: $folder/vm$vm
+  bootstrap: true
+  members:
+$members
+SETTINGS
+    "$build/src/flamingod/flamingod" --settings="$folder/vm$vm.yaml" 2> "$folder/vm$vm.log" &
+    pids+=($!)
+    daemon_pids+=($!)
+done
+ask() { "$build/src/flamingoctl/flamingoctl" --server="$net.1:8400" "$@"; }
+await() { # WORD COUNT STATEMENT
+    for _ in $(seq 150); do
+        found=$(ask --output=json "$3" 2> /dev/null | grep -o "\"$1\"" | wc -l || true)
+        [ "$found" -ge "$2" ] && return 0
+        sleep 0.2
+    done
+    echo "only $found of $2 in '$3'" >&2
+    return 1
+}
+await admitted 3 "SHOW VMS"
+ask "CREATE SERVICE $site WITH $service_options" > /dev/null
+memory() { awk '/VmRSS/ { print $2 }' "/proc/${daemon_pids[0]}/status"; }
+echo "resident memory of a daemon without endpoints: $(memory) kB"
+
+# One scenario for the baseline; the stubs share its endpoints, so that no stub is the bottleneck.
+cat > "$folder/stub.yaml" << SCENARIO
+daemons: ["$net.1:8400", "$net.2:8400", "$net.3:8400"]
+faults: { median_ms: $median, p99_ms: $p99, connect_delay_ms: 6 }
+services:
+  - { name: $site, snapshots: [ { version: 1, shards: $shards } ], replicas: 2, address: $net.100, port: 9000,
+      connections: 60, slots: 2, data_centres: [ dc1, dc2, dc3 ] }
+SCENARIO
+processes=4
+admin=()
+stub_pids=()
+start_stubs() {
+    stub_pids=()
+    for part in $(seq 0 $((processes - 1))); do
+        ids=$(for shard in $(seq "$part" $processes $((shards - 1))); do echo "$site-$shard-0,$site-$shard-1"; done | paste -sd,)
+        "$build/bench/endpoint/stub_endpoint" --only="$ids" --admin-port=$((9900 + part)) \
+            <(echo "admin_address: $net.99"; cat "$folder/stub.yaml") > "$folder/stub$part.log" 2>&1 &
+        stub_pids+=($!)
+        pids+=($!)
+        admin[part]=$((9900 + part))
+    done
+}
+start_stubs
+await active $((2 * shards)) "SHOW ENDPOINTS OF $site"
+http() { # METHOD PORT PATH BODY
+    exec 3<> "/dev/tcp/$net.99/$2"
+    printf '%s %s HTTP/1.1\r\nHost: stub\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' "$1" "$3" ${#4} "$4" >&3
+    tail -n 1 <&3
+    exec 3>&-
+}
+fault() { # FAULTS [ENDPOINT_IDS]
+    for port in "${admin[@]}"; do
+        # No id of another stub's part matches here, so an empty list must not be sent for them.
+        http POST "$port" /stub/faults "{\"faults\":$1${2:+,\"endpoints\":[$2]}}" > /dev/null
+    done
+}
+count() { # COUNTER: sum over the stubs
+    for port in "${admin[@]}"; do
+        http GET "$port" /stub/counters "" | grep -o "\"$1\":[0-9]*" | tail -n 1 | cut -d: -f2
+    done | paste -sd+ | bc
+}
+measure() { # NAME RATE
+    echo "== $site $1: rate $2/s, load average $(cut -d' ' -f1 /proc/loadavg)"
+    "$build/bench/load/load_tool" --service="$site" --rate="$2" --seconds="$seconds" --baseline="$folder/stub.yaml" \
+        --pids="$(IFS=,; echo "${daemon_pids[*]}")" --csv="$out/$site-$1.csv" --svg="$out/$site-$1.svg" "${daemons[@]}"
+}
+
+if [ "$spare_endpoints" -gt 0 ]; then
+    ask "CREATE SERVICE spare" > /dev/null
+    cat > "$folder/spare.yaml" << SCENARIO
+daemons: ["$net.1:8400", "$net.2:8400", "$net.3:8400"]
+announce_connections: 8
+services:
+  - { name: spare, snapshots: [ { version: 1, shards: $((spare_endpoints / 2)) } ], replicas: 2, address: $net.110,
+      port: 9000, endpoints_per_address: 200, connections: 60, slots: 2, data_centres: [ dc1, dc2, dc3 ] }
+SCENARIO
+    "$build/bench/endpoint/stub_endpoint" "$folder/spare.yaml" > "$folder/spare.log" 2>&1 &
+    pids+=($!)
+    await active "$spare_endpoints" "SHOW ENDPOINTS OF spare"
+fi
+sleep 6 # until new endpoints get their full share
+echo "resident memory of a daemon with $((2 * shards + spare_endpoints)) endpoints: $(memory) kB"
+for name in $cases; do
+    case $name in
+        healthy) measure healthy "$rate" ;;
+        slow)
+            fault '{"slow_fraction":0.01}'
+            measure slow "$rate"
+            fault '{"slow_fraction":0}'
+            ;;
+        silent)
+            fault '{"silent":true}' "\"$site-3-0\",\"$site-7-1\""
+            measure silent "$rate"
+            fault '{"silent":false}'
+            ;;
+        shedding)
+            fault '{"shed_fraction":0.1}'
+            measure shedding "$rate"
+            fault '{"shed_fraction":0}'
+            ;;
+        lying)
+            fault '{"reported_load":0}' "\"$site-1-0\",\"$site-2-1\""
+            fault '{"median_ms":20,"p99_ms":60}' "\"$site-1-0\",\"$site-2-1\""
+            measure lying "$rate"
+            fault "{\"reported_load\":null,\"median_ms\":$median,\"p99_ms\":$p99}"
+            ;;
+        cold)
+            for pid in "${stub_pids[@]}"; do kill "$pid"; done
+            for pid in "${stub_pids[@]}"; do wait "$pid" || true; done
+            sed -i 's/connect_delay_ms/cold_ms: 4000, cold_factor: 5, connect_delay_ms/' "$folder/stub.yaml"
+            start_stubs
+            await active $((2 * shards)) "SHOW ENDPOINTS OF $site"
+            measure cold "$rate"
+            sleep 4
+            ;;
+        overload)
+            # Slow endpoints, so that they are the limit rather than the processors of this machine.
+            fault '{"median_ms":20,"p99_ms":60}'
+            for step in 40 80 120 160 320; do
+                shed=$(count shed)
+                measure "rate-$step" "$step"
+                echo "refused by endpoints: $(($(count shed) - shed))"
+            done
+            fault "{\"median_ms\":$median,\"p99_ms\":$p99}"
+            ;;
+        *) echo "unknown case $name" >&2; exit 2 ;;
+    esac
+done
+echo "connections over an endpoint's limit: $(count violations); most on one endpoint: $(for port in "${admin[@]}"; do http GET "$port" /stub/counters "" | grep -o '"connections_peak":[0-9]*' | cut -d: -f2; done | sort -n | tail -n 1)"
