Replace calls that endpoints refused as not run without extra-load tokens

Cause: with 10% of calls shed, each replacement cost a token of the 5% extra-load budget. The budget ran dry, shards waited for tokens until the deadline, and these queries filled the admission. Change: up to 20% of first attempts, calls refused as not run are replaced from a budget of their own. They cost endpoints no work, and a refusing endpoint rests for the time it names.

--- a/src/libflamingo/daemon/entrymetrics.cpp
+++ b/src/libflamingo/daemon/entrymetrics.cpp
@@ -4,6 +4,7 @@
 #include "control/controlservice.h"
 #include "endpoint/endpointcounters.h"
 #include "metrics/callermetrics.h"
+#include "routing/latencydistribution.h"
 #include "routing/routingstate.h"
 
 namespace flamingo {
@@ -86,6 +87,14 @@
             labels);
         set("flamingo_hedges", "Endpoint requests sent as hedges.", double(counts.m_hedges), labels);
         set("flamingo_retries", "Endpoint requests sent as retries.", double(counts.m_retries), labels);
+        set("flamingo_refusals_replaced", "Endpoint requests sent without a token in place of refused ones.",
+            double(counts.m_refusalsReplaced), labels);
+        set("flamingo_canary_duplicates", "Endpoint requests sent as second attempts of a canary.",
+            double(counts.m_canaryDuplicates), labels);
+        set("flamingo_extra_load_denied", "Hedges and retries put off because the extra-load budget was empty.",
+            double(service.m_budget.m_denied), labels);
+        set("flamingo_hedge_delay_seconds", "Time after which a call is hedged.",
+            seconds(hedgeDelay(service.m_latency, routing.m_settings)), labels);
         set("flamingo_dropped_replies", "Answers that were late or did not match their call.",
             double(counts.m_droppedReplies), labels);
         set("flamingo_malformed_replies", "Answers with a malformed body.", double(counts.m_malformedReplies), labels);
--- a/src/libflamingo/query/queryexecution.h
+++ b/src/libflamingo/query/queryexecution.h
@@ -35,6 +35,7 @@
     bool m_waiting = false; // for a free replica
     bool m_firstEarned = false; // the first attempt has earned its fraction of a token
     std::uint32_t m_freeSends = 1; // sends that cost no token: the first one, and those that were never sent
+    std::uint32_t m_refusals = 0; // calls refused as not run and not replaced yet
     std::uint32_t m_open = 0;
     std::uint32_t m_sent = 0;
     std::uint32_t m_lostConnections = 0;
--- a/src/libflamingo/query/queryreply.cpp
+++ b/src/libflamingo/query/queryreply.cpp
@@ -46,6 +46,7 @@
     ShardProgress& shard = step.shard(index);
     if (provesNotRun(reply) && reply.m_outcome == CallOutcome::Answered) {
         execution.m_shedRetryAfter = std::max(execution.m_shedRetryAfter, reply.m_retryAfter);
+        ++shard.m_refusals;
         // The endpoint may be asked again at the time it named, which its statistics keep.
         shard.m_tried.erase(
             std::remove(shard.m_tried.begin(), shard.m_tried.end(), attempt.m_endpoint), shard.m_tried.end());
--- a/src/libflamingo/query/querysend.cpp
+++ b/src/libflamingo/query/querysend.cpp
@@ -17,7 +17,8 @@
         - std::min<MonotonicTime::duration>(margin, MonotonicTime::duration(settings.m_longestReplyMargin));
 }
 
-// Pays for the call: the first one earns, calls that replace one never sent are free, the rest cost a token.
+// Pays for the call: the first one earns, calls that replace one never sent are free, those that replace
+// a refused one have a budget of their own, the rest cost a token.
 bool payForCall(QueryStep& step, ShardProgress& shard, bool& paid)
 {
     ExtraLoadBudget& budget = step.stats().m_budget;
@@ -27,9 +28,15 @@
         if (!shard.m_firstEarned) {
             shard.m_firstEarned = true;
             earnExtraLoad(budget);
+            earnExtraLoad(step.stats().m_refusalBudget);
         }
         return true;
     }
+    if (shard.m_refusals > 0 && spendExtraLoad(step.stats().m_refusalBudget)) {
+        --shard.m_refusals;
+        ++step.stats().m_counters.m_refusalsReplaced;
+        return true;
+    }
     paid = spendExtraLoad(budget);
     return paid;
 }
--- a/src/libflamingo/routing/routingsettings.h
+++ b/src/libflamingo/routing/routingsettings.h
@@ -51,6 +51,10 @@
 
     // Tokens a service's extra-load budget holds at most, and at the start.
     double m_budgetBurst = 10.0;
+    // Calls that endpoints refused as not run are sent again without a token, up to this fraction of the
+    // first attempts. They cost the endpoints no work, and a refusing endpoint rests for the time it
+    // names; beyond the fraction the service is overloaded and more calls would add to it.
+    double m_refusalReplacements = 0.2;
 };
 
 } // namespace flamingo
--- a/src/libflamingo/routing/routingstate.cpp
+++ b/src/libflamingo/routing/routingstate.cpp
@@ -47,6 +47,9 @@
         stats.m_latency.m_window = routing.m_settings.m_latencyWindow;
         stats.m_budget.m_burst = routing.m_settings.m_budgetBurst;
         stats.m_budget.m_tokens = routing.m_settings.m_budgetBurst;
+        stats.m_refusalBudget.m_fraction = routing.m_settings.m_refusalReplacements;
+        stats.m_refusalBudget.m_burst = routing.m_settings.m_budgetBurst;
+        stats.m_refusalBudget.m_tokens = routing.m_settings.m_budgetBurst;
         if (const ServiceRoutes* routes = findService(routing.m_table, service))
             stats.m_budget.m_fraction = routes->m_definition.m_extraLoadBudget;
     }
--- a/src/libflamingo/routing/routingstate.h
+++ b/src/libflamingo/routing/routingstate.h
@@ -26,6 +26,7 @@
     std::uint64_t m_hedges = 0;
     std::uint64_t m_retries = 0;
     std::uint64_t m_canaryDuplicates = 0;
+    std::uint64_t m_refusalsReplaced = 0; // calls sent without a token in place of refused ones
     std::uint64_t m_droppedReplies = 0; // late, or of another request, attempt, snapshot, layout or shard
     std::uint64_t m_malformedReplies = 0;
     std::uint64_t m_shed = 0;
@@ -37,6 +38,7 @@
 struct ServiceStats {
     LatencyDistribution m_latency;
     ExtraLoadBudget m_budget;
+    ExtraLoadBudget m_refusalBudget; // for calls in place of refused ones
     RoutingCounters m_counters;
     // Executions that wait for a free replica of a shard, the longest waiting first.
     std::map<std::tuple<SnapshotVersion, LayoutId, ShardIndex>, std::deque<ExecutionId>> m_waiting;
