Open a connection ahead of need in place of each cancelled one

Each cancelled hedge closes a connection, and connections were opened ahead of need at changes of state only, so that later calls connected on their own path (6 ms at the stubs). The pool is now refilled at once. A test guards it. The baseline uses half of an endpoint's connections, since the daemons hold theirs meanwhile.

--- a/bench/load/baselinerun.cpp
+++ b/bench/load/baselinerun.cpp
@@ -39,7 +39,8 @@
             m_replicas.resize(std::max<std::size_t>(m_replicas.size(), holding.m_shard.value() + 1));
             m_replicas[holding.m_shard.value()].push_back(&record);
             EndpointLimits limits;
-            limits.m_connections = record.m_connections;
+            // The daemons keep theirs during this run, and the endpoint's limit holds for both together.
+            limits.m_connections = std::max(1U, record.m_connections / 2);
             m_client.setLimits(record.m_id, limits);
             m_client.warm(record.m_id, record.m_address, record.m_port, warmConnections);
         }
--- a/bench/load/run.sh
+++ b/bench/load/run.sh
@@ -129,7 +129,7 @@
     local options=()
     [ "${3:-}" = policy ] || options+=("--baseline=$folder/stub.yaml")
     [ "${3:-}" = baseline ] || options+=("${daemons[@]}")
-    "$build/bench/load/load_tool" --service="$site" --rate="$2" --seconds="$seconds" --seed=1 \
+    "$build/bench/load/load_tool" --service="$site" --rate="$2" --seconds="$seconds" --seed=1 --texts="${TEXTS:-50}" \
         --pids="$(IFS=,; echo "${daemon_pids[*]}")" --csv="$out/$site-$1${3:+-$3}.csv" \
         --svg="$out/$site-$1${3:+-$3}.svg" "${options[@]}"
 }
@@ -145,7 +145,7 @@
 announce_connections: 8
 services:
   - { name: spare, snapshots: [ { version: 1, shards: $((spare_endpoints / 2)) } ], replicas: 2, address: $net.110,
-      port: 9000, endpoints_per_address: 200, connections: 60, slots: 2, data_centres: [ dc1, dc2, dc3 ] }
+      port: 9000, endpoints_per_address: 200, connections: 60, slots: 1, data_centres: [ dc1, dc2, dc3 ] }
 SCENARIO
     "$build/bench/endpoint/stub_endpoint" "$folder/spare.yaml" > "$folder/spare.log" 2>&1 &
     pids+=($!)
@@ -156,6 +156,7 @@
 for name in $cases; do
     case $name in
         healthy) measure healthy "$rate" ;;
+        policy) measure_one policy "$rate" policy ;; # without the baseline
         slow)
             fault '{"slow_fraction":0.01}'
             measure slow "$rate"
--- a/src/libflamingo/endpoint/connectionpool.h
+++ b/src/libflamingo/endpoint/connectionpool.h
@@ -22,6 +22,7 @@
     std::vector<std::shared_ptr<HttpConnection>> m_connections; // all that count against the share
     std::vector<HttpConnection*> m_idle; // the one used last is at the back
     std::deque<CallHandle> m_queue;
+    std::uint32_t m_warm = 0; // connections to keep open ahead of need
     std::uint32_t m_connecting = 0; // those not reserved for a single call
     std::uint32_t m_closing = 0;
     bool m_configured = false; // kept while empty
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -145,8 +145,8 @@
         pool.m_configured = true;
         pool.m_forgotten = false;
         useAddress(pool, address, port);
-        while (pool.m_connections.size() - pool.m_closing < count && pool.hasRoom())
-            open(pool, nullptr);
+        pool.m_warm = count;
+        refill(pool);
     }
 
     void forget(const EndpointId& endpoint)
@@ -157,6 +157,7 @@
         ConnectionPool& pool = found->second;
         pool.m_configured = false;
         pool.m_forgotten = true;
+        pool.m_warm = 0;
         while (!pool.m_idle.empty())
             close(*pool.m_idle.front());
         removeIfUnused(pool);
@@ -189,6 +190,12 @@
         return pool;
     }
 
+    void refill(ConnectionPool& pool)
+    {
+        while (pool.m_connections.size() - pool.m_closing < pool.m_warm && pool.hasRoom())
+            open(pool, nullptr);
+    }
+
     /** Gives up the connections to a former address of the endpoint. */
     void useAddress(ConnectionPool& pool, const std::string& address, std::uint16_t port)
     {
@@ -328,6 +335,9 @@
             return;
         if (sent) {
             close(*connection);
+            // Each hedge ends with a cancelled call. Without a replacement the next call would wait for a
+            // new connection. Connections that fail are not replaced here, since that would be a loop.
+            refill(*pool);
         } else if (connection) {
             // The connection that was meant for this call alone serves others once it is open.
             connection->note().m_reserved = false;
--- a/src/libflamingo/endpoint/endpointclient.h
+++ b/src/libflamingo/endpoint/endpointclient.h
@@ -53,7 +53,8 @@
     /**
      * Opens connections ahead of need until the endpoint has `count` of them or its share is reached.
      *
-     * The address must be an IP address. Idempotent, so that it may be called at each change of state.
+     * A connection closed with a cancelled or timed-out call is replaced at once. The address must be an
+     * IP address. Idempotent, so that it may be called at each change of state.
      */
     void warm(const EndpointId& endpoint, const std::string& address, std::uint16_t port, std::uint32_t count);
 
--- a/src/libflamingo/endpoint/tests/endpointclient.cpp
+++ b/src/libflamingo/endpoint/tests/endpointclient.cpp
@@ -347,6 +347,21 @@
         }
     }
 
+    // Guards against calls that wait for a new connection after each hedge has closed one.
+    WHEN("a call is cancelled and the share has room")
+    {
+        bench.share(6);
+        const CallHandle handle = bench.start(bench.call());
+        bench.runUntil([&] { return server.m_connectionOfRequest.size() == 1; });
+        bench.m_client.cancel(handle);
+        THEN("another connection is opened before a call needs it")
+        {
+            bench.runUntil([&] { return bench.m_client.connections(bench.m_endpoint).m_idle == 3; });
+            bench.runUntil([&] { return server.m_accepted == 4; });
+            CHECK(bench.m_client.connections(bench.m_endpoint).m_idle == 3);
+        }
+    }
+
     // Guards against the answer to a cancelled call that is taken for the next call's answer.
     WHEN("a call is cancelled after it was sent")
     {
