--- a/src/libflamingo/control/requestid.cpp
+++ b/src/libflamingo/control/requestid.cpp
@@ -16,8 +16,8 @@
 
 std::optional<std::int64_t> requestIdSeconds(const RequestId& id, Reason& reason)
 {
-    // 12 digits reach the year 33658 and cannot overflow when converted to milliseconds.
-    constexpr std::size_t maximumDigits = 12;
+    // 11 digits reach the year 5138 and cannot overflow when converted to milliseconds.
+    constexpr std::size_t maximumDigits = 11;
     constexpr std::size_t maximumTokenLength = 64;
     const std::string& text = id.value();
     const std::size_t dash = text.find('-');
