Add failure tests of requests and configuration on real daemons

The tests kill, freeze and empty daemons and check that non-idempotent requests run at most once and that accepted configuration stays.

--- /dev/null
+++ b/tests/process/processconfiguration.cpp
@@ -0,0 +1,240 @@
+#include "process/tier.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <future>
+#include <thread>
+
+using namespace flamingo::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+std::chrono::milliseconds since(Clock::time_point start)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start);
+}
+
+bool hasService(const Tier& tier, int vm, const std::string& name)
+{
+    for (const Json& row : tier.rows(vm, "SHOW SERVICES"))
+        if (row.at("service") == name)
+            return true;
+    return false;
+}
+
+std::size_t voters(const Tier& tier, int vm)
+{
+    std::size_t count = 0;
+    for (const Json& row : tier.rows(vm, "SHOW MEMBERS"))
+        count += row.at("voter").get<bool>() ? 1 : 0;
+    return count;
+}
+
+std::string stubService(const Tier& tier, const std::string& prefix, int port)
+{
+    return "{ name: verses, id_prefix: " + prefix + ", snapshots: [ { version: 7, shards: 2 } ], replicas: 2, address: "
+        + tier.network() + ".100, port: " + std::to_string(port) + ", connections: 60, slots: 2 }";
+}
+
+} // namespace
+
+// Guards against loss of an accepted change, and against a deposed leader that still answers.
+TEST_CASE("accepted configuration survives the loss of the control leader")
+{
+    Tier tier(4);
+    tier.settle(4, "CREATE SERVICE first", "before-kill");
+
+    SECTION("the leader is killed")
+    {
+        const int leader = tier.leader(4);
+        REQUIRE(leader > 0);
+        const auto start = Clock::now();
+        tier.vm(leader).kill();
+        const HttpReply reply = tier.settle(4, "CREATE SERVICE second", "after-kill");
+        std::printf("leader killed: next change in force after %lld ms\n", (long long)since(start).count());
+        CHECK(reply.m_body.at("in_force") == true);
+        tier.startVm(leader);
+        Tier::waitFor("the old leader to serve", [&] { return tier.isServing(leader); });
+        for (int vm = 1; vm <= tier.vmCount(); ++vm) {
+            CHECK(hasService(tier, vm, "first"));
+            CHECK(hasService(tier, vm, "second"));
+        }
+    }
+
+    SECTION("the leader is frozen and returns")
+    {
+        const int leader = tier.leader(4);
+        REQUIRE(leader > 0);
+        const auto start = Clock::now();
+        tier.vm(leader).signal(SIGSTOP);
+        tier.settle(4, "CREATE SERVICE second", "while-frozen");
+        std::printf("leader frozen: next change in force after %lld ms\n", (long long)since(start).count());
+        tier.settle(4, "DROP SERVICE first", "drop-while-frozen");
+        tier.vm(leader).signal(SIGCONT);
+        // The first answers of the VM must not come from what it believed before it was frozen.
+        for (int i = 0; i < 50; ++i) {
+            const HttpReply reply = tier.query(leader, "first", "x", 200);
+            INFO(reply.m_body.dump());
+            CHECK((reply.code() == 1001 || reply.code() == 4003));
+        }
+        const HttpReply late = tier.statement(leader, "CREATE SERVICE second", 0ms, "late-duplicate");
+        CHECK(late.code() != 0);
+        Tier::waitFor("the thawed VM to serve", [&] { return tier.isServing(leader); });
+        CHECK(hasService(tier, leader, "second"));
+        CHECK_FALSE(hasService(tier, leader, "first"));
+    }
+
+    SECTION("a resend of a command gets the first result")
+    {
+        const HttpReply once = tier.statement(1, "CREATE SERVICE third", 0ms, "resent");
+        REQUIRE(once.code() == 0);
+        for (int vm = 1; vm <= tier.vmCount(); ++vm) {
+            const HttpReply again = tier.statement(vm, "CREATE SERVICE third", 0ms, "resent");
+            CHECK(again.code() == 0);
+            CHECK(again.m_body.at("revision") == once.m_body.at("revision"));
+            CHECK(again.m_body.at("configuration_version") == once.m_body.at("configuration_version"));
+        }
+    }
+
+    SECTION("of twenty operators with the same expected version one wins")
+    {
+        const auto version = tier.rows(4, "SHOW VERSIONS").at(0).at("configuration_version").get<std::uint64_t>();
+        std::vector<std::future<HttpReply>> operators;
+        for (int i = 0; i < 20; ++i)
+            operators.push_back(std::async(std::launch::async, [&tier, i, version] {
+                return tier.statement(1 + i % 4, "ALTER SERVICE first WITH slots = " + std::to_string(10 + i), 0ms,
+                    "operator" + std::to_string(i), version);
+            }));
+        int won = 0;
+        int refused = 0;
+        for (auto& reply : operators) {
+            const HttpReply got = reply.get();
+            won += got.code() == 0 ? 1 : 0;
+            refused += got.code() == 1009 ? 1 : 0;
+            CHECK(got.m_body.at("configuration_version") == version + 1);
+        }
+        CHECK(won == 1);
+        CHECK(refused == 19);
+    }
+}
+
+// Guards against a frozen VM that serves its old configuration after a change was reported in force.
+TEST_CASE("a frozen entry VM serves nothing after it returns until it has renewed its lease")
+{
+    Tier tier(5);
+    tier.settle(4, "CREATE SERVICE verses WITH deadline = 1 s, canary = off", "c1");
+    tier.startStub(stubService(tier, "a", 9000));
+    tier.waitForEndpoints(5, "verses", 4);
+    Tier::waitFor("full coverage", [&] { return tier.query(5, "verses", "x").m_body["coverage"]["fraction"] == 1.0; });
+
+    for (int round = 0; round < 3; ++round) {
+        const auto drained
+            = [&] { return tier.stubCounters(0).at("endpoints").at("a-0-0").at("queries").get<std::uint64_t>(); };
+        tier.vm(5).signal(SIGSTOP);
+        const auto start = Clock::now();
+        const HttpReply reply = tier.statement(4, "DRAIN ENDPOINT 'a-0-0'", 30s, "drain" + std::to_string(round));
+        REQUIRE(reply.code() == 0);
+        REQUIRE(reply.m_body.at("in_force") == true);
+        std::printf("entry VM frozen: change in force on the others after %lld ms\n", (long long)since(start).count());
+        const auto before = drained();
+
+        // The queries are waiting in the frozen VM's socket buffers when it continues.
+        std::vector<std::future<HttpReply>> waiting;
+        for (int i = 0; i < 20; ++i)
+            waiting.push_back(std::async(std::launch::async, [&] { return tier.query(5, "verses", "x", 1000); }));
+        std::this_thread::sleep_for(300ms);
+        // With control frozen too, the VM cannot renew and has to refuse whatever comes.
+        for (int vm = 1; vm <= Tier::controlVms; ++vm)
+            tier.vm(vm).signal(SIGSTOP);
+        tier.vm(5).signal(SIGCONT);
+        for (int i = 0; i < 10; ++i) {
+            CHECK_FALSE(tier.isServing(5));
+            CHECK(tier.query(5, "verses", "x").code() == 1001);
+        }
+        for (int vm = 1; vm <= Tier::controlVms; ++vm)
+            tier.vm(vm).signal(SIGCONT);
+        const auto thawed = Clock::now();
+        int refused = 0;
+        for (auto& query : waiting)
+            refused += query.get().code() == 1001 ? 1 : 0;
+        Tier::waitFor("the thawed VM to serve", [&] { return tier.isServing(5); });
+        std::printf(
+            "thawed VM: %d of 20 waiting queries refused with 1001, serving again %lld ms after control returned\n",
+            refused, (long long)since(thawed).count());
+        for (int i = 0; i < 30; ++i)
+            CHECK(tier.query(5, "verses", "x").m_body["coverage"]["fraction"] == 1.0);
+        CHECK(drained() == before);
+        tier.settle(4, "RESTORE ENDPOINT 'a-0-0'", "restore" + std::to_string(round));
+    }
+}
+
+// Guards against an emptied member that votes as its old self, and against loss of changes in restarts.
+TEST_CASE("accepted configuration survives emptied data folders and restarts")
+{
+    Tier tier(4);
+
+    SECTION("a member with an emptied folder becomes a voter again, then a second member is lost")
+    {
+        for (int i = 0; i < 5; ++i)
+            tier.settle(4, "CREATE SERVICE s" + std::to_string(i), "c" + std::to_string(i));
+        const int leader = tier.leader(4);
+        REQUIRE(leader > 0);
+        const int emptied = leader % 3 + 1;
+        std::string oldId;
+        for (const Json& row : tier.rows(4, "SHOW MEMBERS")) {
+            const auto id = row.at("member").get<std::string>();
+            if (id.rfind("vm" + std::to_string(emptied) + "/", 0) == 0)
+                oldId = id;
+        }
+        tier.vm(emptied).kill();
+        std::filesystem::remove_all(tier.dataFolder(emptied));
+        const auto start = Clock::now();
+        tier.startVm(emptied);
+        Tier::waitFor("the emptied member to be a voter under a new id", [&] {
+            bool isVoter = false;
+            for (const Json& row : tier.rows(4, "SHOW MEMBERS")) {
+                const auto id = row.at("member").get<std::string>();
+                isVoter = isVoter
+                    || (id.rfind("vm" + std::to_string(emptied) + "/", 0) == 0 && id != oldId && row.at("voter"));
+            }
+            return isVoter && voters(tier, 4) == 3;
+        });
+        std::printf("emptied member: voter again after %lld ms\n", (long long)since(start).count());
+        const auto killed = Clock::now();
+        tier.vm(tier.leader(4)).kill();
+        tier.settle(4, "CREATE SERVICE later", "later");
+        std::printf("second member killed: next change in force after %lld ms\n", (long long)since(killed).count());
+        for (int i = 0; i < 5; ++i)
+            CHECK(hasService(tier, 4, "s" + std::to_string(i)));
+        CHECK(hasService(tier, 4, "later"));
+    }
+
+    SECTION("all control members restart after more than 500 changes")
+    {
+        tier.settle(4, "CREATE SERVICE verses", "c");
+        int done = 0;
+        for (int i = 1; i <= 520; ++i)
+            done += tier.statement(4, "ALTER SERVICE verses WITH slots = " + std::to_string(i)).code() == 0 ? 1 : 0;
+        CHECK(done == 520);
+        tier.settle(4, "ALTER SERVICE verses WITH slots = 521", "last"); // in force, so that VM 4 shows it
+        const auto before = tier.rows(4, "SHOW VERSIONS").at(0).at("configuration_version");
+        for (int vm = 1; vm <= Tier::controlVms; ++vm)
+            tier.vm(vm).kill();
+        const auto start = Clock::now();
+        for (int vm = 1; vm <= Tier::controlVms; ++vm)
+            tier.startVm(vm);
+        for (int vm = 1; vm <= tier.vmCount(); ++vm)
+            Tier::waitFor("all VMs to serve", [&] { return tier.isServing(vm); });
+        std::printf("all control members restarted: all VMs serve after %lld ms\n", (long long)since(start).count());
+        for (int vm = 1; vm <= tier.vmCount(); ++vm) {
+            CHECK(tier.rows(vm, "SHOW VERSIONS").at(0).at("configuration_version") == before);
+            CHECK(tier.rows(vm, "SHOW SERVICES").at(0).at("slots") == 521);
+        }
+    }
+}
