Answer callers that connect while the HTTP server stops

Cause: stop() quiesced the listening socket first, so connections waited in its backlog while requests in flight finished, and were reset when the socket was closed. Their callers could not tell whether the request ran. Change: the server accepts and refuses (1003) until the requests begun before the shutdown are done. Then a socket filter ignores new handshakes, the queue is accepted and answered for 100 ms, and only then the socket is closed.

--- a/src/libflamingo/api/apiserver.cpp
+++ b/src/libflamingo/api/apiserver.cpp
@@ -6,6 +6,7 @@
 #include "api/uploadguard.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <ulfius.h>
@@ -16,6 +17,7 @@
 #include <cstring>
 #include <mutex>
 #include <string_view>
+#include <thread>
 
 namespace flamingo {
 
@@ -24,11 +26,14 @@
 constexpr char metricsType[] = "text/plain; version=0.0.4; charset=utf-8";
 constexpr std::size_t threadStackBytes = 512u << 10;
 constexpr Milliseconds refusalRetryAfter { 1000 };
+// Longer than a handshake takes between data centres (3 ms) and than the server needs to accept what is queued.
+constexpr Milliseconds acceptDrainTime { 100 };
 
 // State of one connection, attached to it in libmicrohttpd.
 struct Connection {
     detail::WatchedConnection* m_watch = nullptr;
     bool m_counted = false; // a request on it counts as in flight
+    bool m_late = false; // that request began during shutdown and is only refused
 };
 
 // Connection whose request the current thread serves; each connection has its own thread.
@@ -73,6 +78,29 @@
     return listener;
 }
 
+/**
+ * Lets a listening socket ignore new handshakes, while those under way complete.
+ *
+ * Closing a listening socket resets the connections that wait to be accepted, whose callers then cannot tell
+ * whether their requests ran.
+ */
+void ignoreNewHandshakes(int listener)
+{
+    constexpr unsigned flagsOffset = 13; // in the TCP header
+    constexpr unsigned synAndAck = 0x12;
+    constexpr unsigned synOnly = 0x02;
+    constexpr unsigned acceptPacket = 0xffffffff;
+    sock_filter code[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, synAndAck),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, synOnly, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, acceptPacket),
+    };
+    const sock_fprog program { sizeof(code) / sizeof(code[0]), code };
+    ::setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 Connection* connectionOf(MHD_Connection* connection)
 {
     const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -204,6 +232,8 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_idle;
     std::size_t m_inFlight = 0;
+    std::size_t m_lateInFlight = 0; // of these, begun during shutdown
+    int m_listener = -1;
     std::unique_ptr<detail::UploadGuard> m_guard;
     bool m_running = false;
     _u_instance m_instance {};
@@ -256,6 +286,7 @@
         return false;
     }
     m_running = true;
+    m_listener = listener;
     return true;
 }
 
@@ -265,11 +296,19 @@
     if (!m_running)
         return true;
     m_running = false;
+    const auto until = std::chrono::steady_clock::now() + m_settings.m_stopTimeout;
+    {
+        // Callers that still connect are answered with a refusal meanwhile.
+        std::unique_lock lock(m_mutex);
+        m_idle.wait_until(lock, until, [this] { return m_inFlight == m_lateInFlight; });
+    }
+    ignoreNewHandshakes(m_listener);
+    std::this_thread::sleep_for(acceptDrainTime);
     const int listener = MHD_quiesce_daemon(m_instance.mhd_daemon); // no new connections
     bool complete = false;
     {
         std::unique_lock lock(m_mutex);
-        complete = m_idle.wait_for(lock, m_settings.m_stopTimeout, [this] { return m_inFlight == 0; });
+        complete = m_idle.wait_until(lock, until + acceptDrainTime, [this] { return m_inFlight == 0; });
     }
     // The server closes sockets from here on, and the guard must not touch a number that is used again.
     m_guard->stop();
@@ -324,8 +363,10 @@
     if (connection.m_counted)
         return;
     connection.m_counted = true;
+    connection.m_late = m_stopping;
     const std::lock_guard lock(m_mutex);
     ++m_inFlight;
+    m_lateInFlight += connection.m_late ? 1 : 0;
 }
 
 void ApiServer::Impl::finishRequest(Connection& connection)
@@ -334,7 +375,9 @@
         return;
     connection.m_counted = false;
     const std::lock_guard lock(m_mutex);
-    if (--m_inFlight == 0)
+    --m_inFlight;
+    m_lateInFlight -= connection.m_late ? 1 : 0;
+    if (m_inFlight == m_lateInFlight)
         m_idle.notify_all();
 }
 
