--- a/src/libflamingo/daemon/requestrunner.cpp
+++ b/src/libflamingo/daemon/requestrunner.cpp
@@ -95,7 +95,7 @@
         if (auto* claim = std::get_if<OpenClaim>(&effect)) {
             openClaim(running, std::move(*claim));
         } else if (auto* settle = std::get_if<SettleClaim>(&effect)) {
-            submit(std::move(*settle));
+            settleClaim(running, std::move(*settle));
         } else if (auto* call = std::get_if<SendCall>(&effect)) {
             send(running, std::move(call->m_call));
         } else if (const auto* cancel = std::get_if<CancelCall>(&effect)) {
@@ -105,7 +105,7 @@
         } else if (const auto* timer = std::get_if<SetTimer>(&effect)) {
             setTimer(running, timer->m_at);
         } else if (auto* finished = std::get_if<FinishRequest>(&effect)) {
-            finish(running, std::move(finished->m_answer));
+            holdUntilRecorded(running, std::move(finished->m_answer));
         } else if (auto* report = std::get_if<ReportDeath>(&effect)) {
             reportDeath(running, std::move(*report));
         } else if (const auto* success = std::get_if<MarkSuccess>(&effect)) {
@@ -169,6 +169,49 @@
         });
 }
 
+void RequestRunner::settleClaim(const RunningPtr& running, SettleClaim settle)
+{
+    if (settle.m_outcome != ClaimOutcome::Done)
+        return submit(std::move(settle));
+    running->m_recording = true;
+    Command command;
+    command.m_body = std::move(settle);
+    m_control.m_submit(std::move(command), m_settings.m_commandTimeout, [this, running](const CommandResult& result) {
+        const bool recorded = result.m_code == ResultCode::Ok;
+        boost::asio::post(m_io, [this, running, recorded] {
+            running->m_recording = false;
+            release(running, recorded);
+        });
+    });
+}
+
+// A success goes to the caller once it is recorded: otherwise a resend through another VM would get
+// OutcomeUnknown after a success if this VM were lost meanwhile.
+void RequestRunner::holdUntilRecorded(const RunningPtr& running, CallerAnswer answer)
+{
+    if (!running->m_recording)
+        return finish(running, std::move(answer));
+    running->m_held = std::move(answer);
+    running->m_timer.expires_at(running->m_execution.m_deadline);
+    running->m_timer.async_wait([this, running](const boost::system::error_code& error) {
+        if (!error)
+            release(running, false);
+    });
+}
+
+void RequestRunner::release(const RunningPtr& running, bool recorded)
+{
+    if (!running->m_held)
+        return;
+    CallerAnswer answer = std::move(*running->m_held);
+    running->m_held.reset();
+    if (!recorded) {
+        answer.m_code = ResultCode::StillRunning;
+        answer.m_text = "the request ran, but its answer is not recorded yet; send it again under the same request id";
+    }
+    finish(running, std::move(answer));
+}
+
 void RequestRunner::submit(CommandBody body)
 {
     Command command;
--- a/src/libflamingo/daemon/requestrunner.h
+++ b/src/libflamingo/daemon/requestrunner.h
@@ -40,6 +40,8 @@
         MonotonicTime m_startedAt;
         boost::asio::steady_timer m_timer;
         std::map<AttemptNumber, CallHandle> m_calls;
+        bool m_recording = false; // the answer is on its way into the claim
+        std::optional<CallerAnswer> m_held; // success that waits for its record
     };
     using RunningPtr = std::shared_ptr<Running>;
 
@@ -49,6 +51,9 @@
     void send(const RunningPtr& running, EndpointCall call);
     void setTimer(const RunningPtr& running, MonotonicTime at);
     void reportDeath(const RunningPtr& running, ReportDeath report);
+    void settleClaim(const RunningPtr& running, SettleClaim settle);
+    void holdUntilRecorded(const RunningPtr& running, CallerAnswer answer);
+    void release(const RunningPtr& running, bool recorded);
     void submit(CommandBody body);
     void finish(const RunningPtr& running, CallerAnswer answer);
 
