--- a/tests/process/processconfiguration.cpp
+++ b/tests/process/processconfiguration.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -56,8 +57,21 @@
         REQUIRE(leader > 0);
         const auto start = Clock::now();
         tier.vm(leader).kill();
+        std::atomic<bool> settled { false };
+        auto unhealthy = std::async(std::launch::async, [&] {
+            auto total = 0ms;
+            for (auto last = Clock::now(); !settled; last = Clock::now()) {
+                std::this_thread::sleep_for(10ms);
+                total += tier.isServing(4) ? 0ms : since(last);
+            }
+            return total;
+        });
+        Tier::waitFor("an accepted change", [&] { return tier.statement(4, "CREATE SERVICE soon").code() == 0; });
+        std::printf("leader killed: next change accepted after %lld ms\n", (long long)since(start).count());
         const HttpReply reply = tier.settle(4, "CREATE SERVICE second", "after-kill");
         std::printf("leader killed: next change in force after %lld ms\n", (long long)since(start).count());
+        settled = true;
+        std::printf("leader killed: an entry VM without a lease for %lld ms\n", (long long)unhealthy.get().count());
         CHECK(reply.m_body.at("in_force") == true);
         tier.startVm(leader);
         Tier::waitFor("the old leader to serve", [&] { return tier.isServing(leader); });
