Keep links to a leader that has not caught up yet

A leader answered NotLeader, with its own address, until it had applied an entry of its term. Clients then backed off and asked the other control VMs in turn, although the leader is ready within one commit. It now keeps the links, grants no leases until it is ready, and proposes commands meanwhile, since each is answered only once it is applied.

--- a/src/libflamingo/control/cborwriter.h
+++ b/src/libflamingo/control/cborwriter.h
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace flamingo {
 
--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -28,9 +28,11 @@
         m_leaderSince = since;
     }
     const bool ready = since && m_ports.m_readyToServe();
-    if (ready && !m_ready)
-        becomeReady(now);
+    const bool becomesReady = ready && !m_ready;
+    // Set first: a proposal may be applied, and the role looked at again, before the call returns.
     m_ready = ready;
+    if (becomesReady)
+        becomeReady(now);
 }
 
 void ControlService::becomeReady(MonotonicTime now)
@@ -46,6 +48,10 @@
     m_graceFrom = now;
     m_lastTick = now;
     m_nextExpiry = now;
+    for (const auto& [link, session] : m_sessions) {
+        if (session.m_hello)
+            considerAdmission(session, now);
+    }
 }
 
 void ControlService::loseLeadership()
@@ -107,10 +113,10 @@
     session.m_base = hello.m_appliedRevision;
     session.m_baseDigest = hello.m_appliedDigest;
     session.m_inFlight.reset();
-    if (!isReady()) {
+    if (!leads())
         sendNotLeader(link, 0);
+    if (!m_ready)
         return true;
-    }
     m_vmHeard[{ hello.m_vm, hello.m_incarnation }] = now;
     considerAdmission(session, now);
     pushState(link, session);
@@ -123,10 +129,14 @@
         m_reason = Reason { ResultCode::MalformedBody, "a renewal needs a hello before it" };
         return false;
     }
-    if (!isReady()) {
+    if (!leads()) {
         sendNotLeader(link, 0);
         return true;
     }
+    if (!m_ready) {
+        send(link, Grant { renew.m_sequence, Milliseconds(0), false, m_state.m_logTime });
+        return true;
+    }
     ++m_counters.m_renewals;
     noteRenewals(session, renew, now);
     const VmProcess process { session.m_hello->m_vm, session.m_hello->m_incarnation };
@@ -255,7 +265,7 @@
 bool ControlService::handle(LinkId link, Session& session, const CommandRequest& request, MonotonicTime)
 {
     ++m_counters.m_commands;
-    if (!isReady()) {
+    if (!leads()) {
         ++m_counters.m_commandsRefused;
         sendNotLeader(link, request.m_sequence);
         return true;
@@ -302,7 +312,7 @@
 
 bool ControlService::handle(LinkId link, Session&, const StatusRequest& request, MonotonicTime now)
 {
-    if (!isReady()) {
+    if (!leads()) {
         sendNotLeader(link, request.m_sequence);
         return true;
     }
--- a/src/libflamingo/control/controlservice.h
+++ b/src/libflamingo/control/controlservice.h
@@ -99,7 +99,8 @@
     void refreshRole(MonotonicTime now);
     void becomeReady(MonotonicTime now);
     void loseLeadership();
-    bool isReady() const { return m_ready; }
+    // A leader that is not ready yet keeps its links: it will be ready within a commit.
+    bool leads() const { return m_leaderSince.has_value(); }
     void send(LinkId link, const ControlMessage& message);
     void sendNotLeader(LinkId link, std::uint64_t sequence);
 
--- a/src/libflamingo/control/tests/servicetest.cpp
+++ b/src/libflamingo/control/tests/servicetest.cpp
@@ -13,6 +13,7 @@
     MonotonicTime m_now { std::chrono::hours(1) };
     std::optional<MonotonicTime> m_leaderSince = m_now;
     bool m_roundsConfirmed = true;
+    bool m_caughtUp = true;
     bool m_applyAtOnce = true;
     std::vector<std::string> m_log;
     std::vector<std::pair<LinkId, ControlMessage>> m_sent;
@@ -27,7 +28,7 @@
                 m_service->onApplied(bytes, m_now);
             return true;
         };
-        ports.m_readyToServe = [this]() { return m_leaderSince.has_value(); };
+        ports.m_readyToServe = [this]() { return m_leaderSince.has_value() && m_caughtUp; };
         ports.m_confirmedRoundStart = [this]() { return m_roundsConfirmed ? std::optional(m_now) : std::nullopt; };
         ports.m_leaderSince = [this]() { return m_leaderSince; };
         ports.m_leaderAddress = []() { return std::string("127.0.0.1:7001"); };
@@ -171,6 +172,21 @@
             REQUIRE_FALSE(fixture.status(Revision(1000)).m_inForce);
         }
     }
+    SECTION("guards against a new leader sending VMs away, or granting leases, before it has caught up")
+    {
+        fixture.m_leaderSince = fixture.m_now;
+        fixture.m_caughtUp = false;
+        fixture.m_service->onRoleChanged(fixture.m_now);
+        const std::size_t before = fixture.count<NotLeader>();
+        fixture.open(3, "vm3");
+        REQUIRE(fixture.renew(1, Revision(2)).m_remaining == Milliseconds(0));
+        REQUIRE(fixture.count<NotLeader>() == before);
+        REQUIRE(fixture.published().m_vms.size() == 2);
+        fixture.m_caughtUp = true;
+        fixture.run(Milliseconds(100));
+        REQUIRE(fixture.published().m_vms.size() == 3);
+        REQUIRE(fixture.renew(1, Revision(3)).m_remaining == leasePeriod);
+    }
     SECTION("guards against two processes under one name replacing each other in turn")
     {
         fixture.m_service->onLinkOpened(LinkId(3));
