--- a/src/libflamingo/link/tests/linktest.cpp
+++ b/src/libflamingo/link/tests/linktest.cpp
@@ -404,11 +404,13 @@
 {
     LinkLimits limits = shortLimits();
     limits.m_maxLinks = 2;
+    limits.m_handshakeTimeout = 2s;
     Daemons daemons(limits);
     RawPeer handshake(daemons);
     REQUIRE(daemons.open(daemons.address()));
     RawPeer beyond(daemons);
     CHECK(daemons.runUntil([&] { return beyond.isClosed(); }));
+    CHECK_FALSE(handshake.isClosed()); // so it was the bound and not the handshake's timeout
     CHECK(daemons.m_client.state() == LinkState::Open);
     // The unfinished handshake ends in time and makes room.
     CHECK(daemons.runUntil([&] { return handshake.isClosed(); }));
