--- a/src/flamingoctl/tablewriter.cpp
+++ b/src/flamingoctl/tablewriter.cpp
@@ -54,6 +54,7 @@
         }
     }
     std::vector<std::size_t> widths;
+    widths.reserve(columns.size());
     for (const std::string& column : columns)
         widths.push_back(width(column));
     std::vector<std::vector<std::string>> lines;
@@ -94,7 +95,7 @@
         const std::string value = isShown ? "" : cell(field.value());
         const bool isUnset = value.empty() || (key == "retry_after_ms" && value == "0");
         if (!isShown && !isUnset)
-            text += key + ": " + value + "\n";
+            text.append(key).append(": ").append(value).append("\n");
     }
     return text;
 }
--- a/src/libflamingo/endpoint/httpconnection.cpp
+++ b/src/libflamingo/endpoint/httpconnection.cpp
@@ -1,21 +1,18 @@
 #include "endpoint/httpconnection.h"
 
 #include "endpoint/httpconnectionowner.h"
+#include "endpoint/replyparser.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <cmath>
 #include <optional>
-#include <string_view>
 #include <utility>
 
 namespace flamingo::detail {
@@ -25,51 +22,11 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using Parser = http::response_parser<http::string_body>;
 
-constexpr std::uint64_t maximumAnswerBytes = 4 * 1024 * 1024;
+constexpr std::uint64_t maximumAnswerBytes = 4UL * 1024 * 1024;
 constexpr std::size_t readBytes = 4096;
 constexpr std::size_t largeReadBytes = 65536; // while a body is under way
 constexpr std::size_t maximumIdleBufferBytes = 16384;
-constexpr Milliseconds maximumRetryAfter { 60000 };
-
-std::string_view field(const Parser::value_type& message, std::string_view name)
-{
-    const auto found = message.find(boost::string_view(name.data(), name.size()));
-    if (found == message.end())
-        return {};
-    return { found->value().data(), found->value().size() };
-}
-
-/** Returns the number that the whole text stands for, or zero. */
-template <typename Number> Number numberOrZero(std::string_view text)
-{
-    Number number {};
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, number);
-    if (result.ec != std::errc() || result.ptr != end)
-        return Number {};
-    return number;
-}
-
-EndpointReply takeReply(Parser::value_type& message)
-{
-    EndpointReply reply;
-    reply.m_outcome = CallOutcome::Answered;
-    reply.m_status = message.result_int();
-    reply.m_notRun = reply.m_status >= 400 && field(message, "X-Flamingo-Not-Run") == "1";
-    const auto retryAfter = numberOrZero<std::uint32_t>(field(message, "Retry-After-Ms"));
-    reply.m_retryAfter = std::min(Milliseconds(retryAfter), maximumRetryAfter);
-    reply.m_request = RequestId(std::string(field(message, "X-Flamingo-Request")));
-    reply.m_attempt = AttemptNumber(numberOrZero<std::uint32_t>(field(message, "X-Flamingo-Attempt")));
-    reply.m_snapshot = SnapshotVersion(numberOrZero<std::uint64_t>(field(message, "X-Flamingo-Snapshot")));
-    reply.m_layout = LayoutId(numberOrZero<std::uint64_t>(field(message, "X-Flamingo-Layout")));
-    reply.m_shard = ShardIndex(numberOrZero<std::uint32_t>(field(message, "X-Flamingo-Shard")));
-    const auto load = numberOrZero<double>(field(message, "X-Flamingo-Load"));
-    reply.m_load = std::isfinite(load) ? std::clamp(load, 0.0, 1.0) : 0.0;
-    reply.m_body = std::move(message.body());
-    return reply;
-}
 
 class BeastConnection final : public HttpConnection {
 public:
@@ -162,12 +119,7 @@
             m_owner->connected(*this);
     }
 
-    void expectAnswer()
-    {
-        m_parser.emplace();
-        m_parser->body_limit(maximumAnswerBytes);
-        m_parser->eager(true);
-    }
+    void expectAnswer() { m_parser.emplace(maximumAnswerBytes); }
 
     // One read is outstanding on every open connection: it takes the answer of a busy one and
     // notices that the peer closes an idle one.
@@ -217,7 +169,7 @@
                 end("HTTP answer without a length");
                 return;
             }
-            if (m_parser->is_done() && m_parser->get().result_int() < 200)
+            if (m_parser->is_done() && m_parser->status() < 200)
                 expectAnswer(); // an interim answer
         }
         if (m_parser->is_done())
@@ -228,8 +180,8 @@
 
     void finish()
     {
-        auto message = m_parser->release();
-        const bool reusable = message.keep_alive() && m_writeDone && m_buffer.size() == 0;
+        EndpointReply reply = m_parser->takeReply();
+        const bool reusable = m_parser->keep_alive() && m_writeDone && m_buffer.size() == 0;
         m_parser.reset();
         if (reusable) {
             m_state = State::Idle;
@@ -238,7 +190,7 @@
         }
         read();
         if (m_owner)
-            m_owner->answered(*this, takeReply(message));
+            m_owner->answered(*this, std::move(reply));
     }
 
     void writeRest(std::size_t written)
@@ -275,7 +227,7 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
+    std::optional<ReplyParser> m_parser;
     std::string m_header;
     std::string m_body;
     bool m_writeDone = true;
--- a/src/libflamingo/endpoint/tests/endpointclient.cpp
+++ b/src/libflamingo/endpoint/tests/endpointclient.cpp
@@ -488,6 +488,24 @@
         }
     }
 
+    // Guards against valid answers that are lost because a server writes them in another way.
+    WHEN("the answer is chunked, follows an interim answer and has header names in lower case")
+    {
+        bytes = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nx-flamingo-request: r1\r\n"
+                "transfer-encoding: chunked\r\n\r\n3\r\n[1,\r\n2\r\n2]\r\n0\r\n\r\n";
+        bench.start(bench.call());
+        bench.awaitReplies(1);
+        bench.start(bench.call());
+        bench.awaitReplies(2);
+        THEN("it counts, and the connection is kept")
+        {
+            CHECK(bench.m_replies[0].m_status == 200);
+            CHECK(bench.m_replies[0].m_request == RequestId("r1"));
+            CHECK(bench.m_replies[0].m_body == "[1,2]");
+            CHECK(server.m_accepted == 1);
+        }
+    }
+
     // Guards against a shed answer whose retry time is lost or absurd.
     WHEN("the endpoint sheds the request")
     {
--- a/src/libflamingo/language/parser.cpp
+++ b/src/libflamingo/language/parser.cpp
@@ -23,7 +23,7 @@
 
 constexpr std::size_t longestName = 64;
 constexpr std::size_t longestId = 128;
-constexpr std::size_t longestText = 1024 * 1024;
+constexpr std::size_t longestText = 1024UL * 1024;
 constexpr Milliseconds longestDuration { 3600000 };
 constexpr std::uint32_t largestCount = 100000;
 constexpr double largestExtraLoad = 10.0;
