--- a/src/flamingoctl/httpexchange.cpp
+++ b/src/flamingoctl/httpexchange.cpp
@@ -20,7 +20,7 @@
 
 // A server that does not accept a connection by then leaves time to try the next one.
 constexpr Milliseconds connectTimeout { 2000 };
-constexpr std::uint64_t largestAnswer = 64UL * 1024 * 1024;
+constexpr std::uint64_t largestAnswer = 64ULL * 1024 * 1024;
 constexpr int http11 = 11;
 
 /** One exchange, step by step on its own io_context. */
--- a/src/libflamingo/endpoint/httpconnection.cpp
+++ b/src/libflamingo/endpoint/httpconnection.cpp
@@ -23,7 +23,7 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint64_t maximumAnswerBytes = 4UL * 1024 * 1024;
+constexpr std::uint64_t maximumAnswerBytes = 4ULL * 1024 * 1024;
 constexpr std::size_t readBytes = 4096;
 constexpr std::size_t largeReadBytes = 65536; // while a body is under way
 constexpr std::size_t maximumIdleBufferBytes = 16384;
--- a/src/libflamingo/settings/settingsreader.cpp
+++ b/src/libflamingo/settings/settingsreader.cpp
@@ -20,7 +20,7 @@
 constexpr std::uint32_t largestWeight = 1000;
 constexpr std::uint64_t smallestBody = 1024;
 // An answer of an endpoint may hold as much.
-constexpr std::uint64_t largestBody = 4UL * 1024 * 1024;
+constexpr std::uint64_t largestBody = 4ULL * 1024 * 1024;
 constexpr Milliseconds longestGrace { 3600000 };
 
 void readRoles(SettingsSection& root, Settings& settings, SettingsErrors& errors)
