--- a/src/flamingoctl/tablewriter.cpp
+++ b/src/flamingoctl/tablewriter.cpp
@@ -95,7 +95,7 @@
         const std::string value = isShown ? "" : cell(field.value());
         const bool isUnset = value.empty() || (key == "retry_after_ms" && value == "0");
         if (!isShown && !isUnset)
-            text += key + ": " + value + "\n";
+            text.append(key).append(": ").append(value).append("\n");
     }
     return text;
 }
