--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -324,7 +324,7 @@
 
 bool ControlService::handle(LinkId link, Session&, const AdminRequest& request, MonotonicTime)
 {
-    if (!isReady()) {
+    if (!m_ready) {
         sendNotLeader(link, request.m_sequence);
         return true;
     }
