Add a policy bench in virtual time; let hedges wait for a free replica

Cause: at higher loads hedges found no free replica and polled for one, while new calls took each slot that got free; and a daemon that never has more calls in flight than slots leaves them idle for a round trip.

Change: bench/policy/policybench runs queries of one daemon against modelled endpoints and a naive baseline on the same seed. A hedge without a free replica takes its turn among the waiting calls, oldest query first. Replicas with a free slot come first in any data centre; then one call beyond the slots may queue at an endpoint.

--- /dev/null
+++ b/bench/policy/policybench.cpp
@@ -0,0 +1,338 @@
+// Runs queries of one daemon against modelled endpoints in virtual time and prints CSV: latency, coverage
+// and extra load of the policy and of a naive baseline on the same seed.
+//
+// Usage: policybench [queries] [seed] [part of the scenario's name] [setting=value...]
+
+#include "endpointmodel.h"
+#include "naivequery.h"
+#include "routing/admission.h"
+#include "virtualdaemon.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace flamingo;
+using namespace flamingo::bench;
+using flamingo::testing::NaiveQuery;
+using flamingo::testing::VirtualDaemon;
+
+namespace {
+
+const ServiceName verses("verses");
+
+struct Scenario {
+    std::string m_name;
+    EndpointSettings m_endpoints;
+    unsigned m_shards = 20;
+    unsigned m_replicas = 2;
+    unsigned m_silent = 0; // shards with one silent replica
+    bool m_removed = false; // silent replicas are not in the state
+    double m_load = 0.4; // of the capacity
+    bool m_canary = false;
+    unsigned m_distinctBodies = 1000;
+    double m_floor = 1.0;
+    Milliseconds m_patience { 20 };
+    bool m_admission = false;
+};
+
+struct Result {
+    std::vector<double> m_latencies; // ms, of answered queries
+    std::vector<double> m_coverage;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_full = 0; // answers that cover everything
+    double m_seconds = 0; // from the first arrival to the last answer
+    std::uint64_t m_refusedAfterSend = 0;
+};
+
+// Requests per second at which all slots are busy.
+double capacityOf(const Scenario& scenario)
+{
+    const EndpointSettings& endpoints = scenario.m_endpoints;
+    const double mean = endpoints.m_medianService * std::exp(endpoints.m_sigma * endpoints.m_sigma / 2)
+        * (1 + endpoints.m_slowFraction * (endpoints.m_slowFactor - 1));
+    return scenario.m_replicas * endpoints.m_slots * 1e6 / mean;
+}
+
+PublishedState stateOf(const Scenario& scenario)
+{
+    PublishedState state;
+    state.m_revision = Revision(1);
+    state.m_vms[VmId("vm1")].m_id = VmId("vm1");
+    ServiceDefinition& service = state.m_services[verses];
+    service.m_name = verses;
+    service.m_canary = scenario.m_canary;
+    service.m_coverageFloor = scenario.m_floor;
+    service.m_patience = scenario.m_patience;
+    service.m_slotsPerEndpoint = scenario.m_endpoints.m_slots;
+    SnapshotLayout layout { { verses, SnapshotVersion(1), LayoutId(1) }, {} };
+    layout.m_shardWeights.assign(scenario.m_shards, 1);
+    state.m_layouts[layout.m_key] = layout;
+    for (unsigned i = 0; i < scenario.m_shards * scenario.m_replicas; ++i) {
+        EndpointRecord record;
+        record.m_id = EndpointId("e" + std::to_string(i));
+        record.m_service = verses;
+        if (scenario.m_removed && i % scenario.m_replicas == 0 && i / scenario.m_replicas < scenario.m_silent)
+            continue;
+        // The replicas of a shard are in distinct ones of three data centres.
+        const unsigned shard = i / scenario.m_replicas;
+        record.m_dataCentre = DataCentreName(std::string(1, char('a' + (shard + i % scenario.m_replicas) % 3)));
+        record.m_holdings = { { SnapshotVersion(1), LayoutId(1), ShardIndex(shard) } };
+        record.m_slots = scenario.m_endpoints.m_slots;
+        record.m_connections = 60;
+        state.m_endpoints[record.m_id] = record;
+    }
+    return state;
+}
+
+/** One run: arrivals, endpoints and the daemon. */
+class Run {
+public:
+    Run(const Scenario& scenario, std::uint64_t seed, std::uint64_t queries)
+        : m_scenario(scenario)
+        , m_queries(queries)
+        , m_arrivals(seed)
+        , m_service(seed + 1)
+        , m_choice(seed + 2)
+        , m_state(stateOf(scenario))
+        , m_admission(makeAdmission(AdmissionSettings()))
+    {
+        for (const auto& [id, record] : m_state.m_endpoints) {
+            // Data centres are 0.5 ms apart, round trip, beyond 0.2 ms within one.
+            const Microseconds distance(record.m_dataCentre == DataCentreName("a") ? 100 : 350);
+            auto model = std::make_unique<EndpointModel>(m_time, m_scenario.m_endpoints, m_service, distance);
+            const std::uint32_t shard = record.m_holdings.front().m_shard.value();
+            const bool first = id == EndpointId("e" + std::to_string(shard * scenario.m_replicas));
+            model->m_silent = first && shard < scenario.m_silent;
+            m_endpoints.emplace(id, std::move(model));
+        }
+    }
+
+    Result runPolicy(const std::function<void(VirtualDaemon&)>& tune)
+    {
+        RoutingSettings settings;
+        settings.m_vm = VmId("vm1");
+        settings.m_dataCentre = DataCentreName("a");
+        VirtualDaemon daemon(m_time, settings, 7);
+        tune(daemon);
+        daemon.m_transport = [this](const EndpointCall& call, ReplyTo replyTo) { transport(call, std::move(replyTo)); };
+        daemon.m_cancel = [this](const RequestId& request, AttemptNumber attempt) {
+            const auto used = m_sentTo.find({ request, attempt });
+            if (used != m_sentTo.end())
+                used->second->cancel(request, attempt);
+        };
+        daemon.apply(std::make_shared<PublishedState>(m_state));
+        arrive([&](const QueryRequest& request) { startPolicy(daemon, request); });
+        return finish();
+    }
+
+    Result runBaseline()
+    {
+        arrive([this](const QueryRequest& request) {
+            const MonotonicTime started = m_time.now();
+            auto query = std::make_shared<NaiveQuery>(
+                m_time, request, [this, started](const QueryAnswer& answer) { note(answer, started); });
+            query->start(
+                m_state, [this](const EndpointCall& call, ReplyTo replyTo) { transport(call, std::move(replyTo)); },
+                m_choice);
+        });
+        return finish();
+    }
+
+    std::uint64_t calls() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto& [id, endpoint] : m_endpoints)
+            sum += endpoint->m_calls;
+        return sum;
+    }
+
+private:
+    void transport(const EndpointCall& call, ReplyTo replyTo)
+    {
+        EndpointModel& endpoint = *m_endpoints.at(call.m_endpoint);
+        m_sentTo[{ call.m_request, call.m_attempt }] = &endpoint;
+        endpoint.call(call,
+            [this, key = std::pair(call.m_request, call.m_attempt), replyTo = std::move(replyTo)](EndpointReply reply) {
+                m_sentTo.erase(key);
+                replyTo(std::move(reply));
+            });
+    }
+
+    void startPolicy(VirtualDaemon& daemon, const QueryRequest& request)
+    {
+        const MonotonicTime started = m_time.now();
+        std::optional<CallerClass> counted;
+        Reason reason;
+        if (m_scenario.m_admission) {
+            counted = admitExecution(m_admission, request.m_callerClass, started, reason);
+            if (!counted) {
+                ++m_result.m_refused;
+                return;
+            }
+        }
+        daemon.start(request, [this, started, counted](const QueryExecution& execution, const QueryAnswer& answer) {
+            note(answer, started);
+            const auto elapsed = std::chrono::duration_cast<Microseconds>(m_time.now() - started);
+            if (counted)
+                endExecution(m_admission, *counted, execution.m_longestWait, elapsed, m_time.now());
+        });
+    }
+
+    void arrive(const std::function<void(const QueryRequest&)>& start)
+    {
+        m_start = m_time.now();
+        const double rate = capacityOf(m_scenario) * m_scenario.m_load;
+        double at = 0;
+        for (std::uint64_t i = 0; i < m_queries; ++i) {
+            at += std::exponential_distribution<double>(rate)(m_arrivals);
+            QueryRequest request;
+            request.m_id = RequestId("q" + std::to_string(i));
+            request.m_service = verses;
+            request.m_body = "body" + std::to_string(m_arrivals() % m_scenario.m_distinctBodies);
+            m_time.at(
+                m_start + Microseconds(static_cast<std::int64_t>(at * 1e6)), [start, request] { start(request); });
+        }
+        while (m_time.runNext()) { }
+    }
+
+    void note(const QueryAnswer& answer, MonotonicTime started)
+    {
+        if (resultClass(answer.m_code) == ResultClass::NotRun) {
+            ++m_result.m_refused;
+            m_result.m_refusedAfterSend += answer.m_endpointRequests > 0 ? 1 : 0;
+            return;
+        }
+        m_last = m_time.now();
+        m_result.m_latencies.push_back(std::chrono::duration<double, std::milli>(m_time.now() - started).count());
+        m_result.m_coverage.push_back(answer.m_coverage);
+        m_result.m_full += answer.m_coverage >= 1.0 ? 1 : 0;
+    }
+
+    Result finish()
+    {
+        m_result.m_seconds = std::chrono::duration<double>(m_last - m_start).count();
+        return m_result;
+    }
+
+    Scenario m_scenario;
+    std::uint64_t m_queries;
+    std::mt19937_64 m_arrivals;
+    std::mt19937_64 m_service;
+    std::mt19937_64 m_choice;
+    PublishedState m_state;
+    VirtualTime m_time;
+    Admission m_admission;
+    std::map<EndpointId, std::unique_ptr<EndpointModel>> m_endpoints;
+    std::map<std::pair<RequestId, AttemptNumber>, EndpointModel*> m_sentTo;
+    MonotonicTime m_start {};
+    MonotonicTime m_last {};
+    Result m_result;
+};
+
+double quantile(std::vector<double>& values, double fraction)
+{
+    if (values.empty())
+        return 0.0;
+    const auto rank = static_cast<std::size_t>(std::ceil(fraction * double(values.size())));
+    const auto position = values.begin() + std::ptrdiff_t(std::max<std::size_t>(rank, 1) - 1);
+    std::nth_element(values.begin(), position, values.end());
+    return *position;
+}
+
+void print(const Scenario& scenario, const char* variant, Result result, std::uint64_t calls)
+{
+    const std::size_t answered = result.m_latencies.size();
+    double covered = 0;
+    for (const double coverage : result.m_coverage)
+        covered += coverage;
+    // The least possible is one request for each shard of each answered query.
+    const double least = double(answered) * scenario.m_shards;
+    std::printf("%s,%s,%zu,%.1f,%.1f,%.1f,%.1f,%.5f,%.4f,%.4f,%.2f,%llu,%llu,%.0f\n", scenario.m_name.c_str(), variant,
+        answered, quantile(result.m_latencies, 0.5), quantile(result.m_latencies, 0.95),
+        quantile(result.m_latencies, 0.99), quantile(result.m_latencies, 0.999), covered / double(answered),
+        quantile(result.m_coverage, 0.01), double(result.m_full) / double(answered), 100 * (double(calls) / least - 1),
+        static_cast<unsigned long long>(result.m_refused), static_cast<unsigned long long>(result.m_refusedAfterSend),
+        double(result.m_full) / result.m_seconds);
+    std::fflush(stdout);
+}
+
+std::vector<Scenario> scenarios()
+{
+    std::vector<Scenario> all;
+    const auto add = [&](const std::string& name, const std::function<void(Scenario&)>& change) {
+        Scenario scenario;
+        scenario.m_name = name;
+        change(scenario);
+        all.push_back(scenario);
+    };
+    const auto slow = [](Scenario& s) { s.m_endpoints.m_slowFraction = 0.01; };
+    add("healthy", [](Scenario&) {});
+    add("slow", slow);
+    add("slow load 0.2", [&](Scenario& s) { slow(s), s.m_load = 0.2; });
+    add("slow load 0.6", [&](Scenario& s) { slow(s), s.m_load = 0.6; });
+    add("slow load 0.8", [&](Scenario& s) { slow(s), s.m_load = 0.8; });
+    add("slow floor 0.9", [&](Scenario& s) { slow(s), s.m_floor = 0.9; });
+    add("slow canary repeated bodies", [&](Scenario& s) { slow(s), s.m_canary = true; });
+    add("slow canary new bodies", [&](Scenario& s) { slow(s), s.m_canary = true, s.m_distinctBodies = 100000000; });
+    add("slow 100 shards", [&](Scenario& s) { slow(s), s.m_shards = 100; });
+    add("slow 400 shards", [&](Scenario& s) { slow(s), s.m_shards = 400; });
+    add("slow lying", [&](Scenario& s) { slow(s), s.m_endpoints.m_lies = true; });
+    add("shedding 1%", [](Scenario& s) { s.m_endpoints.m_shedFraction = 0.01; });
+    // One replica of each of two shards; "removed" is the bound, where the daemon knows from the start.
+    for (const double load : { 0.1, 0.2, 0.3, 0.4 }) {
+        const std::string at = " load " + std::to_string(load).substr(0, 3);
+        add("all replicas" + at, [&](Scenario& s) { s.m_load = load; });
+        add("silent replicas" + at, [&](Scenario& s) { s.m_silent = 2, s.m_load = load; });
+        add("removed replicas" + at, [&](Scenario& s) { s.m_silent = 2, s.m_load = load, s.m_removed = true; });
+    }
+    add("at capacity", [](Scenario& s) { s.m_load = 1.0, s.m_admission = true; });
+    add("twice the capacity", [](Scenario& s) { s.m_load = 2.0, s.m_admission = true; });
+    return all;
+}
+
+// Changes a routing setting for a trial.
+bool setOption(RoutingSettings& settings, const std::string& option)
+{
+    const std::size_t equals = option.find('=');
+    const std::string name = option.substr(0, equals);
+    const double value = equals == std::string::npos ? 0 : std::strtod(option.c_str() + equals + 1, nullptr);
+    if (name == "beyond")
+        settings.m_callsBeyondSlots = static_cast<std::uint32_t>(value);
+    else if (name == "quantile")
+        settings.m_hedgeQuantile = value;
+    else if (name == "burst")
+        settings.m_budgetBurst = value;
+    else if (name == "spill")
+        settings.m_spillFactor = value;
+    else if (name == "races")
+        settings.m_lostRacesToEject = static_cast<std::uint32_t>(value);
+    else
+        return false;
+    return true;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::uint64_t queries = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 20000;
+    const std::uint64_t seed = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
+    std::printf("scenario,variant,answered,p50_ms,p95_ms,p99_ms,p999_ms,coverage_mean,coverage_p01,full_share,"
+                "extra_load_percent,refused,refused_after_send,full_answers_per_s\n");
+    for (const Scenario& scenario : scenarios()) {
+        if (argc > 3 && scenario.m_name.find(argv[3]) == std::string::npos)
+            continue;
+        Run baseline(scenario, seed, queries);
+        const Result baselineResult = baseline.runBaseline();
+        print(scenario, "baseline", baselineResult, baseline.calls());
+        Run policy(scenario, seed, queries);
+        const Result result = policy.runPolicy([&](VirtualDaemon& daemon) {
+            for (int i = 4; i < argc; ++i) {
+                if (!setOption(daemon.m_routing.m_settings, argv[i]))
+                    std::fprintf(stderr, "unknown setting \"%s\"\n", argv[i]);
+            }
+        });
+        print(scenario, "policy", result, policy.calls());
+    }
+    return 0;
+}
--- a/bench/policy/policycost.cpp
+++ b/bench/policy/policycost.cpp
@@ -80,7 +80,8 @@
     const double choice = microsecondsOf(
         [&] {
             shard = (shard + 1) % replicas.size();
-            const EndpointChoice chosen = chooseEndpoint(routing, { replicas[shard], none, ProbeUse::Allowed }, random, now);
+            const EndpointChoice chosen
+                = chooseEndpoint(routing, { replicas[shard], none, ProbeUse::Allowed }, random, now);
             sum += chosen.m_endpoint ? chosen.m_endpoint->value() : 0;
         },
         200000);
--- a/src/libflamingo/query/querycanary.cpp
+++ b/src/libflamingo/query/querycanary.cpp
@@ -232,7 +232,7 @@
     for (std::uint32_t number = 1; number <= execution.m_attempts.size(); ++number) {
         const Attempt& attempt = execution.m_attempts[number - 1].m_attempt;
         if (attempt.m_open)
-            pushDue(step, attempt.m_sentAt + step.hedgeAfter(), QueryDue::Kind::Hedge, number);
+            checkHedgeAt(step, AttemptNumber(number), attempt.m_sentAt + step.hedgeAfter());
     }
     startFanOut(step);
 }
--- a/src/libflamingo/query/queryexecution.cpp
+++ b/src/libflamingo/query/queryexecution.cpp
@@ -54,8 +54,7 @@
 void advanceWaitingShards(QueryStep& step)
 {
     for (std::uint32_t shard = 0; shard < step.m_execution.m_shards.size(); ++shard) {
-        if (step.m_execution.m_shards[shard].m_waiting)
-            advanceShard(step, ShardIndex(shard));
+        advanceWaitingShard(step, ShardIndex(shard));
     }
 }
 
@@ -74,6 +73,8 @@
         recheckSnapshot(step);
         break;
     case QueryDue::Kind::Hedge:
+        if (step.m_execution.m_attempts[due.m_subject - 1].m_checkAt == due.m_at)
+            step.m_execution.m_attempts[due.m_subject - 1].m_checkAt.reset();
         if (execution.m_phase == QueryPhase::FanOut)
             hedgeAttempt(step, AttemptNumber(due.m_subject));
         else if (execution.m_attempts[due.m_subject - 1].m_attempt.m_open)
@@ -114,9 +115,8 @@
     const auto holdings = step.m_context.m_routing.m_table.m_endpoints[endpoint.value()].m_holdings;
     for (const ShardHolding& holding : holdings) {
         if (holding.m_version == execution.m_version && holding.m_layout == execution.m_layout
-            && holding.m_shard.value() < execution.m_shards.size()
-            && execution.m_shards[holding.m_shard.value()].m_waiting)
-            advanceShard(step, holding.m_shard);
+            && holding.m_shard.value() < execution.m_shards.size())
+            advanceWaitingShard(step, holding.m_shard);
     }
     const auto next = longestWaiting(step.m_context.m_routing, endpoint);
     // The call may have gone to another replica; then the next execution gets this one.
@@ -190,6 +190,15 @@
     pushDue(step, at, QueryDue::Kind::Shard, index.value());
 }
 
+void checkHedgeAt(QueryStep& step, AttemptNumber number, MonotonicTime at)
+{
+    auto& checkAt = step.m_execution.m_attempts[number.value() - 1].m_checkAt;
+    if (checkAt && *checkAt <= at)
+        return;
+    checkAt = at;
+    pushDue(step, at, QueryDue::Kind::Hedge, number.value());
+}
+
 void checkCanaryAt(QueryStep& step, MonotonicTime at)
 {
     auto& checkAt = step.m_execution.m_canary.m_checkAt;
--- a/src/libflamingo/query/queryexecution.h
+++ b/src/libflamingo/query/queryexecution.h
@@ -33,6 +33,7 @@
     bool m_answered = false;
     bool m_gaveUp = false;
     bool m_waiting = false; // for a free replica
+    bool m_hedgeWaits = false; // and that for a hedge
     bool m_firstEarned = false; // the first attempt has earned its fraction of a token
     std::uint32_t m_freeSends = 1; // sends that cost no token: the first one, and those that were never sent
     std::uint32_t m_open = 0;
@@ -49,6 +50,7 @@
     Attempt m_attempt;
     ShardIndex m_shard;
     bool m_hedge = false;
+    std::optional<MonotonicTime> m_checkAt; // of the pending QueryDue::Kind::Hedge
 };
 
 /** State of the canary stage; it outlives a restart on another snapshot. */
--- a/src/libflamingo/query/querysend.cpp
+++ b/src/libflamingo/query/querysend.cpp
@@ -53,6 +53,7 @@
     ShardProgress& shard = step.shard(index);
     if (!shard.m_waiting) {
         shard.m_waiting = true;
+        shard.m_hedgeWaits = shard.m_open > 0;
         shard.m_waitingSince = step.m_now;
         const ShardHolding holding { execution.m_version, execution.m_layout, index };
         waitForShard(step.m_context.m_routing, execution.m_request.m_service, holding, execution.m_id);
@@ -150,7 +151,7 @@
     call.m_provenConnection = purpose != SendPurpose::First && number.value() > 1;
     send.m_isHedge = attempt.m_hedge;
     step.m_effects.emplace_back(std::move(send));
-    pushDue(step, step.m_now + step.hedgeAfter(), QueryDue::Kind::Hedge, number.value());
+    checkHedgeAt(step, number, step.m_now + step.hedgeAfter());
     return true;
 }
 
@@ -195,6 +196,19 @@
     }
 }
 
+void advanceWaitingShard(QueryStep& step, ShardIndex index)
+{
+    const ShardProgress& shard = step.shard(index);
+    if (!shard.m_waiting)
+        return;
+    if (shard.m_open == 0)
+        return advanceShard(step, index);
+    const auto& attempts = step.m_execution.m_attempts;
+    const auto open = std::find_if(attempts.begin(), attempts.end(),
+        [&](const QueryAttempt& attempt) { return attempt.m_shard == index && attempt.m_attempt.m_open; });
+    hedgeAttempt(step, AttemptNumber(static_cast<std::uint32_t>(open - attempts.begin()) + 1));
+}
+
 void startFanOut(QueryStep& step)
 {
     step.m_execution.m_phase = QueryPhase::FanOut;
@@ -223,8 +237,13 @@
         const auto endpoint = choice.m_endpoint ? choice.m_endpoint : sameReplica(step, attempt);
         if (endpoint && sendCall(step, index, *endpoint, SendPurpose::Hedge, false))
             return;
+        // A hedge takes its turn among the calls that wait for a replica, unless it lacks a token.
+        if (!endpoint && choice.m_busy && step.stats().m_budget.m_tokens >= 1.0)
+            waitForReplica(step, index);
+        else
+            stopWaitingFor(step, index);
     }
-    pushDue(step, step.m_now + recheckDelay(step), QueryDue::Kind::Hedge, number.value());
+    checkHedgeAt(step, number, step.m_now + recheckDelay(step));
 }
 
 void stopWaitingFor(QueryStep& step, ShardIndex index)
@@ -235,7 +254,8 @@
         return;
     shard.m_waiting = false;
     const auto waited = std::chrono::duration_cast<Microseconds>(step.m_now - shard.m_waitingSince);
-    execution.m_longestWait = std::max(execution.m_longestWait, waited);
+    if (!shard.m_hedgeWaits)
+        execution.m_longestWait = std::max(execution.m_longestWait, waited);
     const ShardHolding holding { execution.m_version, execution.m_layout, index };
     stopWaiting(step.m_context.m_routing, execution.m_request.m_service, holding, execution.m_id);
 }
--- a/src/libflamingo/query/querystep.h
+++ b/src/libflamingo/query/querystep.h
@@ -34,6 +34,8 @@
 void pushDue(QueryStep& step, MonotonicTime at, QueryDue::Kind kind, std::uint32_t subject);
 /** Has the shard looked at again at the time, or before. */
 void checkShardAt(QueryStep& step, ShardIndex shard, MonotonicTime at);
+/** Has a hedge of the attempt looked at at the time, or before. */
+void checkHedgeAt(QueryStep& step, AttemptNumber attempt, MonotonicTime at);
 void checkCanaryAt(QueryStep& step, MonotonicTime at);
 
 // querysend.cpp
@@ -41,6 +43,8 @@
 bool sendCall(QueryStep& step, ShardIndex shard, EndpointIndex endpoint, SendPurpose purpose, bool suspect);
 /** Sends the shard's next call, or makes the shard wait for a replica or a token. */
 void advanceShard(QueryStep& step, ShardIndex shard);
+/** Sends the call or hedge that waits for a replica of the shard, if one is free now. */
+void advanceWaitingShard(QueryStep& step, ShardIndex shard);
 void startFanOut(QueryStep& step);
 void hedgeAttempt(QueryStep& step, AttemptNumber attempt);
 void stopWaitingFor(QueryStep& step, ShardIndex shard);
--- a/src/libflamingo/query/tests/virtualdaemon.h
+++ b/src/libflamingo/query/tests/virtualdaemon.h
@@ -59,6 +59,7 @@
     QuerySettings m_settings;
     bool m_leaseValid = true;
     Transport m_transport;
+    std::function<void(const RequestId&, AttemptNumber)> m_cancel;
     std::function<void(const ReportDeath&, std::function<void(bool)>)> m_report;
     std::uint64_t m_timersSet = 0;
 
@@ -78,7 +79,12 @@
             });
         });
     }
-    void carryOut(ExecutionId, CancelCall&) { }
+    void carryOut(ExecutionId id, CancelCall& effect)
+    {
+        const auto running = m_executions.find(id);
+        if (m_cancel && running != m_executions.end())
+            m_cancel(running->second.m_execution.m_request.m_id, effect.m_attempt);
+    }
     void carryOut(ExecutionId id, SetTimer& effect)
     {
         ++m_timersSet;
--- a/src/libflamingo/routing/endpointchoice.cpp
+++ b/src/libflamingo/routing/endpointchoice.cpp
@@ -109,8 +109,9 @@
 }
 
 struct Sorted {
-    Candidates m_local;
-    Candidates m_remote;
+    Candidates m_local; // with a free slot
+    Candidates m_remote; // with a free slot, in other data centres
+    Candidates m_queueing; // all slots taken, but below the bound
     std::optional<EndpointIndex> m_probe;
     std::optional<EndpointIndex> m_lastResort; // the ejected endpoint that may be tried soonest
     bool m_anyInService = false; // a replica that is neither draining nor ejected
@@ -171,6 +172,10 @@
             choice.m_busy = true;
             continue;
         }
+        if (stats.m_inFlight >= route.m_slots) {
+            sorted.m_queueing.add(index);
+            continue;
+        }
         (route.m_dataCentre == routing.m_settings.m_dataCentre ? sorted.m_local : sorted.m_remote).add(index);
     }
     return sorted;
@@ -205,6 +210,8 @@
         choice.m_endpoint = isClearlyWorse(routing, *local, *remote) ? remote : local;
     else
         choice.m_endpoint = local ? local : remote;
+    if (!choice.m_endpoint)
+        choice.m_endpoint = betterOfTwo(routing, sorted.m_queueing, random);
     if (choice.m_endpoint)
         return choice;
     // Ejection never takes the last replica of a shard.
--- a/src/libflamingo/routing/endpointchoice.h
+++ b/src/libflamingo/routing/endpointchoice.h
@@ -44,7 +44,7 @@
  * Chooses a replica for one call.
  *
  * Replicas in this daemon's data centre come first; others are used when the local ones are ejected,
- * refuse, are full or are clearly slower. Of two random candidates the one with fewer calls in flight
+ * refuse, have no free slot or are clearly slower. Of two random candidates the one with fewer calls in flight
  * per slot wins, then the one with the lower latency, then the one that reports less load. The last
  * replica of a shard is used even if it is ejected.
  */
--- a/src/libflamingo/routing/routingsettings.h
+++ b/src/libflamingo/routing/routingsettings.h
@@ -16,9 +16,10 @@
     double m_latencyWeight = 0.1;
     // Latencies closer than this fraction count as equal, so that the endpoint's report decides.
     double m_latencyTie = 0.1;
-    // Calls in flight beyond the endpoint's slots. One lets the next request travel while the last
-    // one runs; more would queue at the endpoint.
-    std::uint32_t m_callsBeyondSlots = 0;
+    // Calls in flight beyond the endpoint's slots. One lets the next request travel while the last one
+    // runs: without it a shard whose other replica is silent had a p99 of 69 ms instead of 45 ms at a
+    // load of 0.4 (policybench); with four, waiting moves to the endpoints and the p99 rises again.
+    std::uint32_t m_callsBeyondSlots = 1;
 
     // An endpoint in another data centre is used when the local ones take this factor longer and
     // also this much longer.
--- a/src/libflamingo/routing/tests/endpointchoicetest.cpp
+++ b/src/libflamingo/routing/tests/endpointchoicetest.cpp
@@ -39,7 +39,7 @@
             CHECK(chosen(routing, random, at(0)) == "near");
         SECTION("and against staying with a local replica that is full, refuses, or is clearly slower")
         {
-            SECTION("full") { statsFor(routing, "near").m_inFlight = 2; }
+            SECTION("without a free slot") { statsFor(routing, "near").m_inFlight = 2; }
             SECTION("refusing until its retry time")
             {
                 CallEnd end;
@@ -61,6 +61,22 @@
         }
     }
 
+    SECTION("guards against calls beyond the bound, or beyond the share of connections")
+    {
+        RoutingState routing = routingFor(state);
+        for (const char* id : { "near", "far" })
+            statsFor(routing, id).m_inFlight = 2;
+        CHECK(chosen(routing, random, at(0)) != "none");
+        SECTION("bound") { statsFor(routing, "near").m_inFlight = statsFor(routing, "far").m_inFlight = 3; }
+        SECTION("share")
+        {
+            for (int i = 2; i <= 30; ++i)
+                state.m_vms[VmId("vm" + std::to_string(i))].m_id = VmId("vm" + std::to_string(i));
+            applyPublishedState(routing, std::make_shared<PublishedState>(state), at(1));
+        }
+        CHECK(chosen(routing, random, at(2)) == "none");
+    }
+
     SECTION("guards against work for an endpoint that drains or was tried already")
     {
         SECTION("announced by the endpoint") { state.m_endpoints[EndpointId("near")].m_draining = true; }
