Update routing and connections by the changes of a delta

Change: the changes of a delta go along with the state; connections are looked at for changed endpoints only, unless a VM joined or left. Conclusion: full comparison remains for full copies and at a VM's start; control, query, quickstart and process_queries pass.

--- a/src/libflamingo/control/controlclient.h
+++ b/src/libflamingo/control/controlclient.h
@@ -93,6 +93,8 @@
 
     /** Returns the state that was given out last; at revision 0 before the first one. */
     const std::shared_ptr<const PublishedState>& state() const { return m_state.current(); }
+    /** Returns the changes that led to state(), for use within m_onState; null after a full copy. */
+    const std::vector<Change>* lastChanges() const { return m_state.lastChanges(); }
     /** Returns the lease for use on any thread. */
     std::shared_ptr<const LeaseView> leaseView() const { return m_leaseView; }
     /** Returns whether this VM may serve at the time. */
--- a/src/libflamingo/control/statecopy.h
+++ b/src/libflamingo/control/statecopy.h
@@ -32,6 +32,10 @@
     /** Returns the digest of the current state, 0 before the first copy. */
     std::uint64_t digest() const { return m_digest; }
 
+    /** Returns the changes from the state before to the current one; null after a full copy. Valid until the next
+     * take(). */
+    const std::vector<Change>* lastChanges() const { return m_missing.empty() ? nullptr : &m_missing.back().m_changes; }
+
     /** Replaces the state unless it is older than the current one. */
     StateUpdate take(FullCopy copy);
     /** Applies the delta; on a mismatch the current state stays. */
--- a/src/libflamingo/daemon/controllink.cpp
+++ b/src/libflamingo/daemon/controllink.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 ControlLink::ControlLink(boost::asio::io_context& io, ControlClientSettings settings,
-    std::function<void(std::shared_ptr<const PublishedState>)> onState)
+    std::function<void(std::shared_ptr<const PublishedState>, const std::vector<Change>*)> onState)
     : m_io(io)
     , m_random(std::random_device {}())
 {
@@ -27,7 +27,9 @@
         if (m_link && link == m_linkId)
             m_link->send(bytes);
     };
-    ports.m_onState = std::move(onState);
+    ports.m_onState = [this, onState = std::move(onState)](std::shared_ptr<const PublishedState> state) {
+        onState(std::move(state), m_client->lastChanges());
+    };
     ports.m_random = [this] { return std::uniform_real_distribution<double>(0.0, 1.0)(m_random); };
     m_client = std::make_unique<ControlClient>(std::move(settings), std::move(ports));
 }
--- a/src/libflamingo/daemon/controllink.h
+++ b/src/libflamingo/daemon/controllink.h
@@ -20,9 +20,12 @@
  */
 class ControlLink {
 public:
-    /** The state handler must make the state visible to all new work before it returns. */
+    /**
+     * The state handler must make the state visible to all new work before it returns. Its changes lead
+     * from the state before to this one; null after a full copy.
+     */
     ControlLink(boost::asio::io_context& io, ControlClientSettings settings,
-        std::function<void(std::shared_ptr<const PublishedState>)> onState);
+        std::function<void(std::shared_ptr<const PublishedState>, const std::vector<Change>*)> onState);
     ~ControlLink();
     ControlLink(const ControlLink&) = delete;
     ControlLink& operator=(const ControlLink&) = delete;
--- a/src/libflamingo/daemon/controlloop.cpp
+++ b/src/libflamingo/daemon/controlloop.cpp
@@ -29,8 +29,8 @@
     return m_role->start(clockNow(), reason);
 }
 
-void ControlLoop::addEntryLink(
-    ControlClientSettings settings, std::function<void(std::shared_ptr<const PublishedState>)> onState)
+void ControlLoop::addEntryLink(ControlClientSettings settings,
+    std::function<void(std::shared_ptr<const PublishedState>, const std::vector<Change>*)> onState)
 {
     m_link = std::make_unique<ControlLink>(m_io, std::move(settings), std::move(onState));
     makePort();
--- a/src/libflamingo/daemon/controlloop.h
+++ b/src/libflamingo/daemon/controlloop.h
@@ -35,8 +35,8 @@
      * Adds the link of the entry role. The state handler runs on the control loop and returns only when
      * the state is visible to all new work. Precondition: before run().
      */
-    void addEntryLink(
-        ControlClientSettings settings, std::function<void(std::shared_ptr<const PublishedState>)> onState);
+    void addEntryLink(ControlClientSettings settings,
+        std::function<void(std::shared_ptr<const PublishedState>, const std::vector<Change>*)> onState);
 
     /** Starts the thread. */
     void run();
--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -86,8 +86,10 @@
     client.m_address = SocketAddress { m_settings.m_entry.m_listen, m_settings.m_entry.m_port }.text();
     for (const SocketAddress& address : m_settings.m_controlAddresses)
         client.m_controlAddresses.push_back(address.text());
-    m_control.addEntryLink(std::move(client),
-        [this](std::shared_ptr<const PublishedState> state) { m_entry->takeState(std::move(state)); });
+    m_control.addEntryLink(
+        std::move(client), [this](std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes) {
+            m_entry->takeState(std::move(state), changes);
+        });
 
     EntryLoopSettings loop;
     loop.m_vm = m_settings.m_vm;
--- a/src/libflamingo/daemon/entryloop.cpp
+++ b/src/libflamingo/daemon/entryloop.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <future>
 #include <random>
 
@@ -72,46 +73,84 @@
 
 // Waits for the query loop: the revision is confirmed to the leader after this returns, and a send that
 // was decided on the state before must not follow.
-void EntryLoop::takeState(std::shared_ptr<const PublishedState> state)
+void EntryLoop::takeState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes)
 {
-    runOnLoop([this, &state] { applyState(std::move(state)); });
+    runOnLoop([this, &state, changes] { applyState(std::move(state), changes); });
 }
 
 std::shared_ptr<const PublishedState> EntryLoop::state() const { return std::atomic_load(&m_published); }
 
-void EntryLoop::applyState(std::shared_ptr<const PublishedState> state)
+void EntryLoop::applyState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes)
 {
-    applyPublishedState(m_loop.m_routing, state, std::chrono::steady_clock::now());
+    applyPublishedState(m_loop.m_routing, state, std::chrono::steady_clock::now(), changes);
     std::atomic_store(&m_published, std::move(state));
-    updateConnections();
+    if (changes != nullptr)
+        updateConnections(*changes);
+    else
+        updateAllConnections();
     m_queries.stateChanged();
     m_requests.stateChanged();
 }
 
-void EntryLoop::updateConnections()
+void EntryLoop::updateAllConnections()
 {
-    RoutingTable& table = m_loop.m_routing.m_table;
-    const bool mayConnect = m_control.m_lease->valid(std::chrono::steady_clock::now());
-    std::map<EndpointId, Incarnation> connected;
-    for (std::uint32_t position = 0; position < table.m_endpoints.size(); ++position) {
-        const EndpointRoute& route = table.m_endpoints[position];
-        if (!route.m_present)
-            continue;
-        const std::uint32_t share = endpointShare(table, EndpointIndex(position));
-        EndpointLimits limits;
-        limits.m_connections = share;
-        m_client->setLimits(route.m_id, limits);
-        connected[route.m_id] = route.m_incarnation;
-        if (mayConnect && !route.m_draining) {
-            const std::uint32_t wanted = std::min(share, route.m_slots * warmConnectionsPerSlot);
-            m_client->warm(route.m_id, route.m_address, route.m_port, wanted);
-        }
+    const RoutingTable& table = m_loop.m_routing.m_table;
+    std::vector<EndpointId> gone;
+    for (const EndpointId& endpoint : m_connected) {
+        if (table.m_positions.count(endpoint) == 0)
+            gone.push_back(endpoint);
     }
-    for (const auto& [endpoint, incarnation] : m_connected) {
-        if (connected.count(endpoint) == 0)
-            m_client->forget(endpoint);
+    for (const EndpointId& endpoint : gone)
+        disconnectEndpoint(endpoint);
+    for (const auto& [endpoint, position] : table.m_positions)
+        connectEndpoint(position);
+}
+
+// A VM that joins or leaves changes the share of all endpoints; other changes concern one endpoint each.
+void EntryLoop::updateConnections(const std::vector<Change>& changes)
+{
+    const auto changesShares = [](const Change& change) {
+        return std::holds_alternative<VmRecord>(change) || std::holds_alternative<ErasedVm>(change);
+    };
+    if (std::any_of(changes.begin(), changes.end(), changesShares))
+        return updateAllConnections();
+    const RoutingTable& table = m_loop.m_routing.m_table;
+    for (const Change& change : changes) {
+        EndpointId endpoint;
+        if (const auto* record = std::get_if<EndpointRecord>(&change))
+            endpoint = record->m_id;
+        else if (const auto* erased = std::get_if<ErasedEndpoint>(&change))
+            endpoint = erased->m_endpoint;
+        else if (const auto* drain = std::get_if<OperatorDrainChange>(&change))
+            endpoint = drain->m_endpoint;
+        else
+            continue;
+        const auto position = table.m_positions.find(endpoint);
+        if (position == table.m_positions.end())
+            disconnectEndpoint(endpoint);
+        else
+            connectEndpoint(position->second);
     }
-    m_connected = std::move(connected);
+}
+
+void EntryLoop::connectEndpoint(EndpointIndex endpoint)
+{
+    RoutingTable& table = m_loop.m_routing.m_table;
+    const EndpointRoute& route = table.m_endpoints.at(endpoint.value());
+    EndpointLimits limits;
+    limits.m_connections = endpointShare(table, endpoint);
+    m_client->setLimits(route.m_id, limits);
+    m_connected.insert(route.m_id);
+    if (route.m_draining || !m_control.m_lease->valid(std::chrono::steady_clock::now()))
+        return;
+    const std::uint32_t wanted = std::min(limits.m_connections, route.m_slots * warmConnectionsPerSlot);
+    m_client->warm(route.m_id, route.m_address, route.m_port, wanted);
+}
+
+void EntryLoop::disconnectEndpoint(const EndpointId& endpoint)
+{
+    m_client->forget(endpoint);
+    m_connected.erase(endpoint);
 }
 
 QueryAnswer EntryLoop::query(QueryRequest request)
@@ -156,10 +195,10 @@
         return;
     m_leaseWasValid = valid;
     if (valid) {
-        updateConnections();
+        updateAllConnections();
         return;
     }
-    for (const auto& [endpoint, incarnation] : m_connected)
+    for (const EndpointId& endpoint : m_connected)
         m_client->forget(endpoint);
 }
 
--- a/src/libflamingo/daemon/entryloop.h
+++ b/src/libflamingo/daemon/entryloop.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <set>
 #include <thread>
 
 namespace flamingo {
@@ -30,8 +31,12 @@
     /** Stops the loop and joins the thread. Precondition: nothing calls query(), request() or takeState() any more. */
     void stop();
 
-    /** Takes over a new published state; returns when all new work uses it. */
-    void takeState(std::shared_ptr<const PublishedState> state);
+    /**
+     * Takes over a new published state; returns when all new work uses it.
+     *
+     * The changes lead to it from the state taken over before; null if they are not known.
+     */
+    void takeState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes);
     /** Returns the state taken over last; null before the first one. */
     std::shared_ptr<const PublishedState> state() const;
 
@@ -45,8 +50,11 @@
 
 private:
     template <typename Work> void runOnLoop(Work work);
-    void applyState(std::shared_ptr<const PublishedState> state);
-    void updateConnections();
+    void applyState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes);
+    void updateAllConnections();
+    void updateConnections(const std::vector<Change>& changes);
+    void connectEndpoint(EndpointIndex endpoint);
+    void disconnectEndpoint(const EndpointId& endpoint);
     void scheduleTick();
     void tick();
 
@@ -61,7 +69,7 @@
     QueryRunner m_queries;
     RequestRunner m_requests;
     std::shared_ptr<const PublishedState> m_published; // read and written with std::atomic_load and std::atomic_store
-    std::map<EndpointId, Incarnation> m_connected; // endpoints with limits set at the client
+    std::set<EndpointId> m_connected; // endpoints with limits set at the client
     bool m_leaseWasValid = false;
     std::thread m_thread;
 };
