--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -95,6 +95,8 @@
     loop.m_vm = m_settings.m_vm;
     loop.m_incarnation = Incarnation(m_incarnation);
     loop.m_dataCentre = m_settings.m_dataCentre;
+    loop.m_maxQueries = m_settings.m_limits.m_queries;
+    loop.m_maxRequests = m_settings.m_limits.m_requests;
     for (const auto& [name, weight] : m_settings.m_entry.m_callerClasses)
         loop.m_classWeights[name] = weight;
     m_entry = std::make_unique<EntryLoop>(std::move(loop), m_control.port(), m_metrics);
--- a/src/libflamingo/daemon/entryloopsettings.h
+++ b/src/libflamingo/daemon/entryloopsettings.h
@@ -14,6 +14,8 @@
     Incarnation m_incarnation;
     DataCentreName m_dataCentre;
     std::map<CallerClass, double> m_classWeights; // classes that are not listed weigh 1
+    std::uint32_t m_maxQueries = 2000; // running at the same time, over all services
+    std::uint32_t m_maxRequests = 256;
     Milliseconds m_commandTimeout { 5000 }; // for claims and announcements at the control leader
 };
 
--- a/src/libflamingo/daemon/requestrunner.cpp
+++ b/src/libflamingo/daemon/requestrunner.cpp
@@ -41,6 +41,10 @@
         handler(refusal(request, reason));
         return;
     }
+    if (m_running.size() >= m_settings.m_maxRequests) {
+        handler(refusal(request, { ResultCode::Overloaded, "this VM runs as many requests as its settings allow" }));
+        return;
+    }
     Admission& admission = serviceAdmission(m_loop, m_settings, request.m_service);
     const auto countedIn = admitExecution(admission, request.m_callerClass, now, reason);
     if (!countedIn) {
--- a/src/libflamingo/settings/settings.h
+++ b/src/libflamingo/settings/settings.h
@@ -45,8 +45,6 @@
 struct LimitSettings {
     std::uint32_t m_queries = 2000; // executing
     std::uint32_t m_requests = 256; // executing, not idempotent
-    std::uint32_t m_queued = 1000; // admitted later, for each service
-    std::uint32_t m_endpointConnections = 4000;
 };
 
 /** Settings of one daemon, checked as a whole. */
--- a/src/libflamingo/settings/settingsreader.cpp
+++ b/src/libflamingo/settings/settingsreader.cpp
@@ -159,8 +159,6 @@
     SettingsSection limits = root.section("limits");
     limits.number("queries", 1U, largestCount, settings.m_limits.m_queries);
     limits.number("requests", 1U, largestCount, settings.m_limits.m_requests);
-    limits.number("queued", 0U, largestCount, settings.m_limits.m_queued);
-    limits.number("endpoint_connections", 1U, largestCount, settings.m_limits.m_endpointConnections);
     limits.finish();
     root.finish();
 }
