--- a/src/libflamingo/daemon/statementexecutor.cpp
+++ b/src/libflamingo/daemon/statementexecutor.cpp
@@ -92,6 +92,8 @@
         return query(*asked);
     if (const auto* sent = std::get_if<SendStatement>(&*statement))
         return send(*sent);
+    if (const auto* added = std::get_if<AddMember>(&*statement))
+        return administer(AdminRequest { 0, AdminAction::AddMember, added->m_vm.value(), added->m_address });
     if (const auto* removed = std::get_if<RemoveMember>(&*statement))
         return administer(AdminRequest { 0, AdminAction::RemoveMember, removed->m_member, {} });
 
--- a/src/libflamingo/language/parser.cpp
+++ b/src/libflamingo/language/parser.cpp
@@ -262,12 +262,18 @@
         case 6:
             expectKeyword("QUARANTINE");
             return LiftQuarantine { fingerprint() };
-        case 7:
+        case 7: {
             expectKeyword("MEMBER");
-            return RemoveMember { id("a member id") };
+            VmId vm(id("a VM id"));
+            expectKeyword("AT");
+            return AddMember { std::move(vm), id("an address such as '10.0.0.1:8401'") };
+        }
         case 8:
-            return show();
+            expectKeyword("MEMBER");
+            return RemoveMember { id("a member id") };
         case 9:
+            return show();
+        case 10:
             return query();
         default:
             return send();
--- a/src/libflamingo/language/statement.cpp
+++ b/src/libflamingo/language/statement.cpp
@@ -86,6 +86,10 @@
     {
         return "LIFT QUARANTINE " + printFingerprint(s.m_fingerprint);
     }
+    std::string operator()(const AddMember& s) const
+    {
+        return "ADD MEMBER " + quoted(s.m_vm.value()) + " AT " + quoted(s.m_address);
+    }
     std::string operator()(const RemoveMember& s) const { return "REMOVE MEMBER " + quoted(s.m_member); }
     std::string operator()(const ShowStatement& s) const
     {
@@ -113,7 +117,8 @@
 bool isChange(const Statement& statement)
 {
     return !std::holds_alternative<ShowStatement>(statement) && !std::holds_alternative<QueryStatement>(statement)
-        && !std::holds_alternative<SendStatement>(statement);
+        && !std::holds_alternative<SendStatement>(statement) && !std::holds_alternative<AddMember>(statement)
+        && !std::holds_alternative<RemoveMember>(statement);
 }
 
 std::string printStatement(const Statement& statement) { return std::visit(Printer(), statement); }
--- a/src/libflamingo/language/statement.h
+++ b/src/libflamingo/language/statement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/command.h"
+#include "language/addmember.h"
 #include "language/querystatement.h"
 #include "language/removemember.h"
 #include "language/sendstatement.h"
@@ -17,9 +18,13 @@
  * DECLARE REQUEST is an AlterService with one declared kind.
  */
 using Statement = std::variant<CreateService, AlterService, DropService, DrainEndpoint, RestoreEndpoint, LiftQuarantine,
-    RemoveMember, ShowStatement, QueryStatement, SendStatement>;
+    AddMember, RemoveMember, ShowStatement, QueryStatement, SendStatement>;
 
-/** Returns whether the statement changes the configuration, so that it needs a command id. Thread-safe. */
+/**
+ * Returns whether the statement changes the configuration, so that it needs a command id. Thread-safe.
+ *
+ * Changes of the members of the log have none: asking for one again does no harm.
+ */
 bool isChange(const Statement& statement);
 
 /** Returns the statement's text, which parses to an equal statement. Thread-safe. */
--- a/src/libflamingo/language/statementwords.h
+++ b/src/libflamingo/language/statementwords.h
@@ -10,7 +10,7 @@
     "MEMBERS", "CLAIMS" };
 
 inline const std::vector<std::string> statementVerbs { "CREATE", "ALTER", "DROP", "DECLARE", "DRAIN", "RESTORE", "LIFT",
-    "REMOVE", "SHOW", "QUERY", "SEND" };
+    "ADD", "REMOVE", "SHOW", "QUERY", "SEND" };
 
 inline const std::vector<std::string> serviceOptions { "snapshot", "prefer", "floor", "deadline", "patience",
     "extra_load", "connections", "slots", "canary" };
--- a/src/libflamingo/language/tests/parser.cpp
+++ b/src/libflamingo/language/tests/parser.cpp
@@ -80,7 +80,7 @@
 Statement anyStatement()
 {
     const ServiceName service(*names());
-    switch (*rc::gen::inRange(0, 11)) {
+    switch (*rc::gen::inRange(0, 12)) {
     case 0:
         return CreateService { service, anyPatch() };
     case 1:
@@ -101,6 +101,8 @@
         return LiftQuarantine { Fingerprint(*rc::gen::arbitrary<std::uint64_t>()) };
     case 7:
         return RemoveMember { *ids() };
+    case 11:
+        return AddMember { VmId(*ids()), *ids() };
     case 8: {
         ShowStatement show { static_cast<ShowSubject>(*rc::gen::inRange(0, 8)), std::nullopt };
         if (show.m_subject == ShowSubject::Claims || show.m_subject == ShowSubject::Endpoints)
