--- a/src/flamingoctl/tablewriter.cpp
+++ b/src/flamingoctl/tablewriter.cpp
@@ -89,8 +89,13 @@
     } else if (!hasRows) {
         text += "ok\n";
     }
+    // Without a revision nothing was changed, so how far it has spread says nothing.
+    const bool hasRevision = answer.value("revision", 0ULL) > 0;
     for (const auto& field : answer.items()) {
         const std::string& key = field.key();
+        const bool isSpread = key == "revision" || key == "in_force" || key == "holders";
+        if (isSpread && !hasRevision)
+            continue;
         const bool isShown = key == "rows" || key == "code" || key == "name" || (key == "text" && code != 0);
         const std::string value = isShown ? "" : cell(field.value());
         const bool isUnset = value.empty() || (key == "retry_after_ms" && value == "0");
--- a/src/libflamingo/base/time.h
+++ b/src/libflamingo/base/time.h
@@ -14,6 +14,9 @@
 // Unix time in milliseconds as agreed in the replicated log; it never decreases.
 using LogTime = StrongValue<struct LogTimeTag, std::int64_t>;
 
+/** Returns the monotonic clock. Thread-safe. */
+inline MonotonicTime monotonicNow() { return std::chrono::steady_clock::now(); }
+
 /** Returns the wall clock as Unix milliseconds. Thread-safe. */
 inline LogTime wallClock()
 {
--- a/src/libflamingo/daemon/controllink.cpp
+++ b/src/libflamingo/daemon/controllink.cpp
@@ -9,12 +9,6 @@
 
 namespace flamingo {
 
-namespace {
-
-MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
-
-} // namespace
-
 ControlLink::ControlLink(boost::asio::io_context& io, ControlClientSettings settings,
     std::function<void(std::shared_ptr<const PublishedState>, const std::vector<Change>*)> onState)
     : m_io(io)
@@ -41,16 +35,17 @@
     retire();
     m_linkId = link;
     LinkClientCallbacks callbacks;
-    callbacks.m_opened = [this, link] { m_client->onLinkOpened(link, clockNow()); };
-    callbacks.m_message = [this, link](const std::string& message) { m_client->onMessage(link, message, clockNow()); };
+    callbacks.m_opened = [this, link] { m_client->onLinkOpened(link, monotonicNow()); };
+    callbacks.m_message
+        = [this, link](const std::string& message) { m_client->onMessage(link, message, monotonicNow()); };
     callbacks.m_closed = [this, link, address](const Reason& reason) {
         FLAMINGO_LOG(Info, "link to control closed", { "address", address }, { "reason", reason.m_text });
-        m_client->onLinkClosed(link, clockNow());
+        m_client->onLinkClosed(link, monotonicNow());
     };
     m_link = std::make_unique<LinkClient>(m_io, std::move(callbacks));
     if (!m_link->connect(address, entryLinkPath)) {
         // The client expects the answer after this call has returned.
-        boost::asio::post(m_io, [this, link] { m_client->onLinkClosed(link, clockNow()); });
+        boost::asio::post(m_io, [this, link] { m_client->onLinkClosed(link, monotonicNow()); });
     }
 }
 
--- a/src/libflamingo/daemon/controlloop.cpp
+++ b/src/libflamingo/daemon/controlloop.cpp
@@ -10,8 +10,6 @@
 
 constexpr Milliseconds tickInterval { 20 };
 
-MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 ControlLoop::ControlLoop()
@@ -26,7 +24,7 @@
     ControlRoleSettings settings, std::function<void(const Reason&)> failed, Reason& reason)
 {
     m_role = std::make_unique<ControlRole>(m_io, std::move(settings), std::move(failed));
-    return m_role->start(clockNow(), reason);
+    return m_role->start(monotonicNow(), reason);
 }
 
 void ControlLoop::addEntryLink(ControlClientSettings settings,
@@ -41,17 +39,17 @@
     m_port.m_lease = m_link->client().leaseView();
     m_port.m_submit = [this](Command command, Milliseconds timeout, CommandHandler handler) {
         boost::asio::post(m_io, [this, command = std::move(command), timeout, handler = std::move(handler)]() mutable {
-            m_link->client().submit(std::move(command), timeout, std::move(handler), clockNow());
+            m_link->client().submit(std::move(command), timeout, std::move(handler), monotonicNow());
         });
     };
     m_port.m_queryStatus = [this](Revision revision, Milliseconds timeout, StatusHandler handler) {
         boost::asio::post(m_io, [this, revision, timeout, handler = std::move(handler)]() mutable {
-            m_link->client().queryStatus(revision, timeout, std::move(handler), clockNow());
+            m_link->client().queryStatus(revision, timeout, std::move(handler), monotonicNow());
         });
     };
     m_port.m_administer = [this](AdminRequest request, Milliseconds timeout, AdminHandler handler) {
         boost::asio::post(m_io, [this, request = std::move(request), timeout, handler = std::move(handler)]() mutable {
-            m_link->client().administer(std::move(request), timeout, std::move(handler), clockNow());
+            m_link->client().administer(std::move(request), timeout, std::move(handler), monotonicNow());
         });
     };
     m_port.m_noteRenewal = [this](EndpointId endpoint) {
@@ -72,7 +70,7 @@
     m_ticker.async_wait([this](const boost::system::error_code& error) {
         if (error)
             return;
-        const MonotonicTime now = clockNow();
+        const MonotonicTime now = monotonicNow();
         if (m_role)
             m_role->tick(now);
         if (m_link)
@@ -85,9 +83,9 @@
 {
     if (!m_link || !m_thread.joinable())
         return;
-    boost::asio::post(m_io, [this] { m_link->client().leave(clockNow()); });
-    const MonotonicTime until = clockNow() + timeout;
-    while (clockNow() < until) {
+    boost::asio::post(m_io, [this] { m_link->client().leave(monotonicNow()); });
+    const MonotonicTime until = monotonicNow() + timeout;
+    while (monotonicNow() < until) {
         const auto left = std::make_shared<std::promise<bool>>();
         boost::asio::post(m_io, [this, left] { left->set_value(m_link->client().hasLeft()); });
         if (left->get_future().get())
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -12,12 +12,6 @@
 
 namespace flamingo {
 
-namespace {
-
-MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
-
-} // namespace
-
 ControlRole::ControlRole(
     boost::asio::io_context& io, ControlRoleSettings settings, std::function<void(const Reason&)> failed)
     : m_io(io)
@@ -48,8 +42,9 @@
 void ControlRole::makeService()
 {
     ControlServicePorts ports;
-    ports.m_propose
-        = [this](std::string entry) { return m_member && m_member->propose(std::move(entry), clockNow()).has_value(); };
+    ports.m_propose = [this](std::string entry) {
+        return m_member && m_member->propose(std::move(entry), monotonicNow()).has_value();
+    };
     ports.m_readyToServe = [this] { return m_member && m_member->readyToServe(); };
     ports.m_confirmedRoundStart
         = [this] { return m_member ? m_member->confirmedRoundStart() : std::optional<MonotonicTime>(); };
@@ -70,10 +65,10 @@
     MemberCallbacks callbacks;
     callbacks.m_send = [this](const std::string& address, const std::string& frame) {
         if (!m_stopped)
-            m_peers.send(address, frame, clockNow());
+            m_peers.send(address, frame, monotonicNow());
     };
     callbacks.m_apply = [this](LogIndex, const std::string& bytes) {
-        if (!m_service->onApplied(bytes, clockNow()))
+        if (!m_service->onApplied(bytes, monotonicNow()))
             fail(m_service->lastReason());
     };
     callbacks.m_takeSnapshot = [this] { return m_service->takeSnapshot(); };
@@ -84,7 +79,7 @@
         return false;
     };
     callbacks.m_roleChanged = [this] {
-        m_service->onRoleChanged(clockNow());
+        m_service->onRoleChanged(monotonicNow());
         if (m_member) {
             FLAMINGO_LOG(Info, "control role changed", { "member", m_member->id().value() },
                 { "leads", m_member->role() == Role::Leader ? "yes" : "no" },
@@ -101,7 +96,7 @@
     // Runs after the messages at hand, so that their proposals share one sync of the disk.
     boost::asio::post(m_io, [this] {
         if (!m_stopped)
-            m_member->flush(clockNow());
+            m_member->flush(monotonicNow());
     });
 }
 
@@ -129,7 +124,7 @@
 
 void ControlRole::linkMessage(LinkId link, const std::string& message)
 {
-    const MonotonicTime now = clockNow();
+    const MonotonicTime now = monotonicNow();
     if (!m_links[link]) {
         if (!m_member->receive(message, now)) {
             FLAMINGO_LOG(
@@ -163,7 +158,7 @@
 
 AdminReply ControlRole::administer(const AdminRequest& request)
 {
-    return flamingo::administer(*m_member, *m_service, request, clockNow());
+    return flamingo::administer(*m_member, *m_service, request, monotonicNow());
 }
 
 } // namespace flamingo
--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -117,7 +117,7 @@
 
 std::optional<Reason> Daemon::refusalWithoutLease() const
 {
-    if (m_control.port().m_lease->valid(std::chrono::steady_clock::now()) && m_entry->state())
+    if (m_control.port().m_lease->valid(monotonicNow()) && m_entry->state())
         return std::nullopt;
     return Reason { ResultCode::NoLease, "this VM holds no valid lease, so its configuration may be out of date" };
 }
--- a/src/libflamingo/daemon/entryloop.cpp
+++ b/src/libflamingo/daemon/entryloop.cpp
@@ -82,7 +82,7 @@
 
 void EntryLoop::applyState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes)
 {
-    applyPublishedState(m_loop.m_routing, state, std::chrono::steady_clock::now(), changes);
+    applyPublishedState(m_loop.m_routing, state, monotonicNow(), changes);
     std::atomic_store(&m_published, std::move(state));
     if (changes != nullptr)
         updateConnections(*changes);
@@ -141,7 +141,7 @@
     limits.m_connections = endpointShare(table, endpoint);
     m_client->setLimits(route.m_id, limits);
     m_connected.insert(route.m_id);
-    if (route.m_draining || !m_control.m_lease->valid(std::chrono::steady_clock::now()))
+    if (route.m_draining || !m_control.m_lease->valid(monotonicNow()))
         return;
     const std::uint32_t wanted = std::min(limits.m_connections, route.m_slots * warmConnectionsPerSlot);
     m_client->warm(route.m_id, route.m_address, route.m_port, wanted);
@@ -190,7 +190,7 @@
 // A VM without a lease gives its idle connections back, since the others take over its share.
 void EntryLoop::tick()
 {
-    const bool valid = m_control.m_lease->valid(std::chrono::steady_clock::now());
+    const bool valid = m_control.m_lease->valid(monotonicNow());
     if (valid == m_leaseWasValid)
         return;
     m_leaseWasValid = valid;
--- a/src/libflamingo/daemon/queryrunner.cpp
+++ b/src/libflamingo/daemon/queryrunner.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
-
 QueryAnswer refusal(const QueryRequest& request, const Reason& reason)
 {
     QueryAnswer answer;
@@ -48,7 +46,7 @@
 
 void QueryRunner::start(QueryRequest request, AnswerHandler handler)
 {
-    const MonotonicTime now = clockNow();
+    const MonotonicTime now = monotonicNow();
     Reason reason;
     if (findService(m_loop.m_routing.m_table, request.m_service) == nullptr) {
         reason = Reason { ResultCode::UnknownService, "unknown service " + request.m_service.value() };
@@ -99,7 +97,7 @@
 {
     if (running->m_execution.m_phase == QueryPhase::Finished)
         return;
-    const MonotonicTime now = clockNow();
+    const MonotonicTime now = monotonicNow();
     QueryContext context { m_loop.m_routing, m_loop.m_fingerprints, m_loop.m_random, m_querySettings,
         m_control.m_lease->valid(now) };
     carryOut(running, stepQuery(running->m_execution, std::move(event), context, now));
@@ -152,7 +150,7 @@
 void QueryRunner::finish(const RunningPtr& running, QueryAnswer answer)
 {
     running->m_timer.cancel();
-    const MonotonicTime now = clockNow();
+    const MonotonicTime now = monotonicNow();
     const auto elapsed = std::chrono::duration_cast<Microseconds>(now - running->m_startedAt);
     const QueryRequest& request = running->m_execution.m_request;
     endExecution(serviceAdmission(m_loop, m_settings, request.m_service), running->m_countedIn,
--- a/src/libflamingo/daemon/requestrunner.cpp
+++ b/src/libflamingo/daemon/requestrunner.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
-
 CallerAnswer refusal(const CallerRequest& request, const Reason& reason)
 {
     CallerAnswer answer;
@@ -35,7 +33,7 @@
 
 void RequestRunner::start(CallerRequest request, AnswerHandler handler)
 {
-    const MonotonicTime now = clockNow();
+    const MonotonicTime now = monotonicNow();
     Reason reason { ResultCode::UnknownService, "unknown service " + request.m_service.value() };
     if (findService(m_loop.m_routing.m_table, request.m_service) == nullptr) {
         handler(refusal(request, reason));
@@ -85,7 +83,7 @@
 {
     if (isRequestOver(running->m_execution))
         return;
-    const MonotonicTime now = clockNow();
+    const MonotonicTime now = monotonicNow();
     RequestContext context { m_loop.m_routing, m_loop.m_fingerprints, m_loop.m_random, m_requestSettings,
         m_settings.m_vm, m_settings.m_incarnation, wallClock(), m_control.m_lease->valid(now) };
     carryOut(running, stepRequest(running->m_execution, std::move(event), context, now));
@@ -226,7 +224,7 @@
 void RequestRunner::finish(const RunningPtr& running, CallerAnswer answer)
 {
     running->m_timer.cancel();
-    const MonotonicTime now = clockNow();
+    const MonotonicTime now = monotonicNow();
     const auto elapsed = std::chrono::duration_cast<Microseconds>(now - running->m_startedAt);
     const ServiceName service = running->m_execution.m_request.m_service;
     endExecution(serviceAdmission(m_loop, m_settings, service), running->m_countedIn,
--- a/src/libflamingo/daemon/statementexecutor.cpp
+++ b/src/libflamingo/daemon/statementexecutor.cpp
@@ -17,8 +17,6 @@
 constexpr Milliseconds controlTimeout { 5000 };
 constexpr Milliseconds statusInterval { 50 };
 
-MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
-
 std::string randomHex()
 {
     std::random_device device;
@@ -151,7 +149,7 @@
 {
     CommandStatusAnswer answer;
     answer.m_revision = request.m_revision;
-    const MonotonicTime until = clockNow() + request.m_wait;
+    const MonotonicTime until = monotonicNow() + request.m_wait;
     while (true) {
         const Held<StatusReply> reply = statusAndWait(m_control, request.m_revision);
         if (!reply.m_value) {
@@ -162,7 +160,7 @@
         answer.m_inForce = reply.m_value->m_inForce;
         answer.m_holdersConfirmed = reply.m_value->m_holdersConfirmed;
         answer.m_holdersTotal = reply.m_value->m_holdersTotal;
-        if (answer.m_inForce || clockNow() >= until)
+        if (answer.m_inForce || monotonicNow() >= until)
             return answer;
         std::this_thread::sleep_for(statusInterval);
     }
