Pass freed replicas on, and ask a sole replica again beyond its slots

Cause: a new test of waiting queries took 40 ms instead of 30: two replies in a row woke the same execution, and the second replica stayed idle until the next poll. Another new test showed that a shard's only replica with one slot was never asked on a second connection, since the silent call held the slot.

Change: an execution that has no use for a freed replica wakes the next one. A repeated call to a sole replica is bounded by the connection share alone.

--- a/src/libflamingo/query/queryexecution.cpp
+++ b/src/libflamingo/query/queryexecution.cpp
@@ -109,19 +109,18 @@
     if (endpoint.value() >= step.m_context.m_routing.m_table.m_endpoints.size())
         return;
     if (execution.m_phase == QueryPhase::Canary)
-        return advanceCanary(step);
-    const std::size_t before = execution.m_attempts.size();
+        advanceCanary(step);
     // Copied, since the routes may not be held across sends.
     const auto holdings = step.m_context.m_routing.m_table.m_endpoints[endpoint.value()].m_holdings;
     for (const ShardHolding& holding : holdings) {
-        if (holding.m_version == execution.m_version && holding.m_layout == execution.m_layout
-            && holding.m_shard.value() < execution.m_shards.size())
+        if (execution.m_phase == QueryPhase::FanOut && holding.m_version == execution.m_version
+            && holding.m_layout == execution.m_layout && holding.m_shard.value() < execution.m_shards.size())
             advanceWaitingShard(step, holding.m_shard);
     }
+    // The execution may have been served meanwhile, or have used another replica; then the next one gets
+    // this endpoint. A head of the queue that can't use it is not woken again, so that this ends.
     const auto next = longestWaiting(step.m_context.m_routing, endpoint);
-    // The call may have gone to another replica; then the next execution gets this one.
-    if (next && *next != execution.m_id && execution.m_attempts.size() > before
-        && canTakeCall(step.m_context.m_routing, endpoint, step.m_now))
+    if (next && *next != execution.m_id && canTakeCall(step.m_context.m_routing, endpoint, step.m_now))
         step.m_effects.emplace_back(WakeExecution { *next, endpoint });
 }
 
--- a/src/libflamingo/query/querysend.cpp
+++ b/src/libflamingo/query/querysend.cpp
@@ -95,7 +95,7 @@
     if (others || age < step.hedgeAfter() * step.m_context.m_settings.m_soleReplicaDelay)
         return std::nullopt;
     if (!isEndpointKnown(step.m_context.m_routing, attempt.m_attempt)
-        || !canTakeCall(step.m_context.m_routing, attempt.m_attempt.m_endpoint, step.m_now))
+        || !canTryConnection(step.m_context.m_routing, attempt.m_attempt.m_endpoint, step.m_now))
         return std::nullopt;
     return attempt.m_attempt.m_endpoint;
 }
--- a/src/libflamingo/request/requestexecution.cpp
+++ b/src/libflamingo/request/requestexecution.cpp
@@ -78,7 +78,15 @@
         }
     }
     void operator()(StateChanged&) { advanceRequest(m_step); }
-    void operator()(CapacityFreed&) { advanceRequest(m_step); }
+    void operator()(CapacityFreed& event)
+    {
+        advanceRequest(m_step);
+        // Passes the endpoint on when this request has no use for it.
+        RoutingState& routing = m_step.m_context.m_routing;
+        const auto next = longestWaiting(routing, event.m_endpoint);
+        if (next && *next != m_step.m_execution.m_id && canTakeCall(routing, event.m_endpoint, m_step.m_now))
+            m_step.m_effects.emplace_back(WakeExecution { *next, event.m_endpoint });
+    }
     void operator()(QuarantineDecided& event)
     {
         ++m_step.m_execution.m_decisions;
--- a/src/libflamingo/routing/endpointchoice.cpp
+++ b/src/libflamingo/routing/endpointchoice.cpp
@@ -192,6 +192,14 @@
         && !isFull(routing, endpoint);
 }
 
+bool canTryConnection(RoutingState& routing, EndpointIndex endpoint, MonotonicTime now)
+{
+    const EndpointRoute& route = routeOf(routing, endpoint);
+    const EndpointStats& stats = statsAt(routing, endpoint);
+    return route.m_present && !route.m_draining && now >= stats.m_refusedUntil
+        && stats.m_inFlight < endpointShare(routing.m_table, endpoint);
+}
+
 EndpointChoice chooseEndpoint(
     RoutingState& routing, const ChoiceRequest& request, RandomEngine& random, MonotonicTime now)
 {
--- a/src/libflamingo/routing/endpointchoice.h
+++ b/src/libflamingo/routing/endpointchoice.h
@@ -40,6 +40,14 @@
 /** Returns whether the endpoint can take a call now: not draining, ejected, refusing or at its bound. */
 bool canTakeCall(RoutingState& routing, EndpointIndex endpoint, MonotonicTime now);
 
+/**
+ * Returns whether a further connection may be tried while a call on another one stays unanswered.
+ *
+ * That call may hang on a silent connection, so the bound by slots is left out and the share of
+ * connections alone applies.
+ */
+bool canTryConnection(RoutingState& routing, EndpointIndex endpoint, MonotonicTime now);
+
 /**
  * Chooses a replica for one call.
  *
