Leave out endpoints without a connection share; compare records in one walk

Cause: with fewer connections than VMs, a replica that this VM may not connect to counted as busy, so a shard waited for it until the deadline. Comparing all records after a full copy looked each endpoint up twice.

Change: such a replica is no candidate, and the canary passes over it. Vanished endpoints are searched for only when the numbers differ.

--- a/src/libflamingo/query/querycanary.cpp
+++ b/src/libflamingo/query/querycanary.cpp
@@ -180,7 +180,8 @@
     canary.m_checkAt.reset();
     bool passedOver = false;
     for (const Ranked& entry : ranked) {
-        if (isLongGone(step, entry.m_endpoint))
+        const bool unreachable = endpointShare(step.m_context.m_routing.m_table, entry.m_endpoint) == 0;
+        if (unreachable || isLongGone(step, entry.m_endpoint))
             passedOver = passedOver || canary.m_ranks.size() < 2;
         else if (canary.m_ranks.size() < mostRanks)
             canary.m_ranks.push_back(step.m_context.m_routing.m_table.m_endpoints[entry.m_endpoint.value()].m_id);
--- a/src/libflamingo/routing/connectionshare.h
+++ b/src/libflamingo/routing/connectionshare.h
@@ -15,8 +15,9 @@
  * since a frozen process keeps its sockets. With at least as many connections as VMs each VM gets
  * limit / VMs. With fewer, the VMs are ranked by rendezvous hashing for this endpoint: the first ones
  * get one connection each and the rest none, so that the limit holds and each VM reaches some of the
- * endpoints. A VM that joins only lowers the rank of others, so that no share rises before the
- * admission is in force everywhere. A VM that is not listed gets none.
+ * endpoints; an endpoint without a share is not a replica for the VM. A VM that joins only lowers the
+ * rank of others, so that no share rises before the admission is in force everywhere. A VM that is not
+ * listed gets none.
  */
 std::uint32_t connectionShare(
     std::uint32_t limit, std::uint64_t vmHash, const std::vector<std::uint64_t>& vmHashes, std::uint64_t endpointHash);
--- a/src/libflamingo/routing/endpointchoice.cpp
+++ b/src/libflamingo/routing/endpointchoice.cpp
@@ -152,7 +152,8 @@
     for (const EndpointIndex index : request.m_replicas) {
         const EndpointRoute& route = routeOf(routing, index);
         const EndpointStats& stats = statsAt(routing, index);
-        if (!route.m_present || route.m_draining)
+        // Without a share of its connections the endpoint is out of reach for this daemon.
+        if (!route.m_present || route.m_draining || endpointShare(routing.m_table, index) == 0)
             continue;
         const bool excluded = contains(request.m_excluded, index);
         // A retry has no other replica in service than those not tried yet; a hedge still waits for one.
--- a/src/libflamingo/routing/routingtable.cpp
+++ b/src/libflamingo/routing/routingtable.cpp
@@ -257,6 +257,20 @@
     ++table.m_vmGeneration;
 }
 
+// Erases endpoints that the state does not list. Precondition: all that it lists are in the table.
+void eraseGone(RoutingTable& table, const PublishedState& state)
+{
+    if (table.m_positions.size() == state.m_endpoints.size())
+        return;
+    std::vector<EndpointId> gone;
+    for (const auto& [id, index] : table.m_positions) {
+        if (state.m_endpoints.count(id) == 0)
+            gone.push_back(id);
+    }
+    for (const EndpointId& id : gone)
+        eraseEndpoint(table, id);
+}
+
 void finish(RoutingTable& table, const PublishedState& state)
 {
     table.m_revision = state.m_revision;
@@ -318,19 +332,13 @@
         if (upsertLayout(table, layout) && (relinked.empty() || relinked.back() != key.m_service))
             relinked.push_back(key.m_service);
     }
-    std::vector<EndpointId> gone;
-    for (const auto& [id, index] : table.m_positions) {
-        if (state.m_endpoints.count(id) == 0)
-            gone.push_back(id);
-    }
-    for (const EndpointId& id : gone)
-        eraseEndpoint(table, id);
     std::sort(relinked.begin(), relinked.end());
     relinked.erase(std::unique(relinked.begin(), relinked.end()), relinked.end());
     for (const ServiceName& name : relinked)
         relinkService(table, state, name);
     for (const auto& [id, record] : state.m_endpoints)
         upsertEndpoint(table, state, record, arrived);
+    eraseGone(table, state);
     refreshVms(table, state);
     finish(table, state);
 }
--- a/src/libflamingo/routing/tests/limitstest.cpp
+++ b/src/libflamingo/routing/tests/limitstest.cpp
@@ -39,6 +39,24 @@
     });
 }
 
+TEST_CASE("an endpoint without a share for this VM", "[routing]")
+{
+    INFO("guards against queries that wait until their deadline for a replica they may not connect to");
+    PublishedState state = stateWithShards({ 1 });
+    EndpointRecord narrow = endpointRecord("narrow", 0);
+    narrow.m_connections = 1;
+    addEndpoint(state, narrow);
+    for (int i = 2; i <= 40; ++i)
+        state.m_vms[VmId("vm" + std::to_string(i))].m_id = VmId("vm" + std::to_string(i));
+    RoutingState routing = routingFor(state);
+    RandomEngine random(1);
+    const auto& snapshot = findService(routing.m_table, verses)->m_snapshots.begin()->second;
+    REQUIRE(endpointShare(routing.m_table, indexOf(routing, "narrow")) == 0);
+    const EndpointChoice choice = chooseEndpoint(routing, { snapshot.m_replicas[0], {}, {} }, random, at(0));
+    CHECK_FALSE(choice.m_endpoint);
+    CHECK_FALSE(choice.m_busy);
+}
+
 TEST_CASE("the extra-load budget", "[routing]")
 {
     rc::prop("guards against extra load beyond the fraction and the burst", [](const std::vector<bool>& spends) {
