--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -127,6 +127,7 @@
     ApiHandlers handlers;
     handlers.m_query = [this](QueryRequest request) {
         if (const auto refusal = refusalWithoutLease()) {
+            m_metrics.recordEarlyRefusal(refusal->m_code);
             QueryAnswer answer;
             answer.m_code = refusal->m_code;
             answer.m_text = refusal->m_text;
@@ -137,6 +138,7 @@
     };
     handlers.m_request = [this](CallerRequest request) {
         if (const auto refusal = refusalWithoutLease()) {
+            m_metrics.recordEarlyRefusal(refusal->m_code);
             CallerAnswer answer;
             answer.m_code = refusal->m_code;
             answer.m_text = refusal->m_text;
--- a/src/libflamingo/daemon/entrymetrics.cpp
+++ b/src/libflamingo/daemon/entrymetrics.cpp
@@ -4,6 +4,7 @@
 #include "control/controlservice.h"
 #include "endpoint/endpointcounters.h"
 #include "metrics/callermetrics.h"
+#include "metrics/processmetrics.h"
 #include "routing/latencydistribution.h"
 #include "routing/routingstate.h"
 
@@ -21,6 +22,7 @@
 EntryMetrics::EntryMetrics()
     : m_table(m_registry)
 {
+    registerProcessMetrics(m_registry);
 }
 
 CallerMetrics& EntryMetrics::find(const ServiceName& service, const CallerClass& callerClass)
