--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "consensus/consensusmember.h"
 #include "control/controlservice.h"
+#include "daemon/refusedanswer.h"
 
 #include <random>
 
@@ -128,22 +129,14 @@
     handlers.m_query = [this](QueryRequest request) {
         if (const auto refusal = refusalWithoutLease()) {
             m_metrics.recordEarlyRefusal(refusal->m_code);
-            QueryAnswer answer;
-            answer.m_code = refusal->m_code;
-            answer.m_text = refusal->m_text;
-            answer.m_id = request.m_id;
-            return answer;
+            return refusedAnswer<QueryAnswer>(request.m_id, *refusal);
         }
         return m_entry->query(std::move(request));
     };
     handlers.m_request = [this](CallerRequest request) {
         if (const auto refusal = refusalWithoutLease()) {
             m_metrics.recordEarlyRefusal(refusal->m_code);
-            CallerAnswer answer;
-            answer.m_code = refusal->m_code;
-            answer.m_text = refusal->m_text;
-            answer.m_id = request.m_id;
-            return answer;
+            return refusedAnswer<CallerAnswer>(request.m_id, *refusal);
         }
         return m_entry->request(std::move(request));
     };
--- a/src/libflamingo/daemon/queryrunner.cpp
+++ b/src/libflamingo/daemon/queryrunner.cpp
@@ -1,25 +1,13 @@
 #include "daemon/queryrunner.h"
 
 #include "base/log.h"
+#include "daemon/refusedanswer.h"
 #include "endpoint/endpointclient.h"
 
 #include <boost/asio/post.hpp>
 
 namespace flamingo {
 
-namespace {
-
-QueryAnswer refusal(const QueryRequest& request, const Reason& reason)
-{
-    QueryAnswer answer;
-    answer.m_code = reason.m_code;
-    answer.m_text = reason.m_text;
-    answer.m_id = request.m_id;
-    return answer;
-}
-
-} // namespace
-
 Admission& serviceAdmission(LoopState& loop, const EntryLoopSettings& settings, const ServiceName& service)
 {
     const auto found = loop.m_admission.find(service);
@@ -50,17 +38,18 @@
     Reason reason;
     if (findService(m_loop.m_routing.m_table, request.m_service) == nullptr) {
         reason = Reason { ResultCode::UnknownService, "unknown service " + request.m_service.value() };
-        handler(refusal(request, reason));
+        handler(refusedAnswer<QueryAnswer>(request.m_id, reason));
         return;
     }
     if (m_running.size() >= m_settings.m_maxQueries) {
-        handler(refusal(request, { ResultCode::Overloaded, "this VM runs as many queries as its settings allow" }));
+        handler(refusedAnswer<QueryAnswer>(
+            request.m_id, { ResultCode::Overloaded, "this VM runs as many queries as its settings allow" }));
         return;
     }
     Admission& admission = serviceAdmission(m_loop, m_settings, request.m_service);
     const auto countedIn = admitExecution(admission, request.m_callerClass, now, reason);
     if (!countedIn) {
-        QueryAnswer answer = refusal(request, reason);
+        QueryAnswer answer = refusedAnswer<QueryAnswer>(request.m_id, reason);
         answer.m_retryAfter = admission.m_settings.m_retryAfter;
         handler(std::move(answer));
         return;
--- a/src/libflamingo/daemon/requestrunner.cpp
+++ b/src/libflamingo/daemon/requestrunner.cpp
@@ -1,25 +1,13 @@
 #include "daemon/requestrunner.h"
 
 #include "base/log.h"
+#include "daemon/refusedanswer.h"
 #include "endpoint/endpointclient.h"
 
 #include <boost/asio/post.hpp>
 
 namespace flamingo {
 
-namespace {
-
-CallerAnswer refusal(const CallerRequest& request, const Reason& reason)
-{
-    CallerAnswer answer;
-    answer.m_code = reason.m_code;
-    answer.m_text = reason.m_text;
-    answer.m_id = request.m_id;
-    return answer;
-}
-
-} // namespace
-
 RequestRunner::RequestRunner(boost::asio::io_context& io, EndpointClient& client, LoopState& loop,
     const EntryLoopSettings& settings, const ControlPort& control, EntryMetrics& metrics)
     : m_io(io)
@@ -36,17 +24,18 @@
     const MonotonicTime now = monotonicNow();
     Reason reason { ResultCode::UnknownService, "unknown service " + request.m_service.value() };
     if (findService(m_loop.m_routing.m_table, request.m_service) == nullptr) {
-        handler(refusal(request, reason));
+        handler(refusedAnswer<CallerAnswer>(request.m_id, reason));
         return;
     }
     if (m_running.size() >= m_settings.m_maxRequests) {
-        handler(refusal(request, { ResultCode::Overloaded, "this VM runs as many requests as its settings allow" }));
+        handler(refusedAnswer<CallerAnswer>(
+            request.m_id, { ResultCode::Overloaded, "this VM runs as many requests as its settings allow" }));
         return;
     }
     Admission& admission = serviceAdmission(m_loop, m_settings, request.m_service);
     const auto countedIn = admitExecution(admission, request.m_callerClass, now, reason);
     if (!countedIn) {
-        CallerAnswer answer = refusal(request, reason);
+        CallerAnswer answer = refusedAnswer<CallerAnswer>(request.m_id, reason);
         answer.m_retryAfter = admission.m_settings.m_retryAfter;
         handler(std::move(answer));
         return;
