--- a/bench/policy/policybench.cpp
+++ b/bench/policy/policybench.cpp
@@ -2,6 +2,8 @@
 // and extra load of the policy and of a naive baseline on the same seed.
 //
 // Usage: policybench [queries] [seed] [part of the scenario's name] [setting=value...]
+//        policybench goals [queries] [seed]
+// The second form compares the figures with the goals and fails when one is missed.
 
 #include "endpointmodel.h"
 #include "naivequery.h"
@@ -311,10 +313,72 @@
     return true;
 }
 
+struct Figures {
+    double m_p99 = 0;
+    double m_coverage = 0;
+    double m_extraLoad = 0;
+    double m_fullPerSecond = 0;
+    std::uint64_t m_refusedAfterSend = 0;
+};
+
+Figures figuresOf(Run& run, Result result, const Scenario& scenario)
+{
+    Figures figures;
+    figures.m_p99 = quantile(result.m_latencies, 0.99);
+    for (const double coverage : result.m_coverage)
+        figures.m_coverage += coverage / double(result.m_coverage.size());
+    figures.m_extraLoad = double(run.calls()) / (double(result.m_latencies.size()) * scenario.m_shards) - 1;
+    figures.m_fullPerSecond = double(result.m_full) / result.m_seconds;
+    figures.m_refusedAfterSend = result.m_refusedAfterSend;
+    return figures;
+}
+
+Figures measure(const std::string& name, bool baseline, std::uint64_t queries, std::uint64_t seed)
+{
+    for (const Scenario& scenario : scenarios()) {
+        if (scenario.m_name == name) {
+            Run run(scenario, seed, queries);
+            const Result result = baseline ? run.runBaseline() : run.runPolicy([](VirtualDaemon&) {});
+            return figuresOf(run, result, scenario);
+        }
+    }
+    std::fprintf(stderr, "no scenario is named \"%s\"\n", name.c_str());
+    std::exit(2);
+}
+
+int checkGoals(std::uint64_t queries, std::uint64_t seed)
+{
+    int missed = 0;
+    const auto check = [&](const char* goal, double value, double atMost) {
+        const bool met = value <= atMost;
+        missed += met ? 0 : 1;
+        std::printf("%s,%.4f,at most %.4f,%s\n", goal, value, atMost, met ? "met" : "missed");
+    };
+    for (const char* name : { "slow", "slow load 0.6", "slow canary new bodies" }) {
+        const Figures baseline = measure(name, true, queries, seed);
+        const Figures policy = measure(name, false, queries, seed);
+        std::printf("# %s\n", name);
+        check("p99 relative to the baseline", policy.m_p99 / baseline.m_p99, 0.5);
+        check("extra load", policy.m_extraLoad, 0.05);
+        check("coverage below the baseline", baseline.m_coverage - policy.m_coverage, 1e-9);
+    }
+    const Figures healthy = measure("all replicas load 0.2", false, queries, seed);
+    const Figures silent = measure("silent replicas load 0.2", false, queries, seed);
+    check("p99 with two silent endpoints relative to a healthy run", silent.m_p99 / healthy.m_p99, 1.5);
+    const Figures capacity = measure("at capacity", false, queries, seed);
+    const Figures twice = measure("twice the capacity", false, queries, seed);
+    check("work lost at twice the capacity", 1 - twice.m_fullPerSecond / capacity.m_fullPerSecond, 0.2);
+    check("refused after an endpoint was asked", double(twice.m_refusedAfterSend), 0);
+    return missed == 0 ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+    if (argc > 1 && std::string(argv[1]) == "goals")
+        return checkGoals(
+            argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 5000, argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1);
     const std::uint64_t queries = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 20000;
     const std::uint64_t seed = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
     std::printf("scenario,variant,answered,p50_ms,p95_ms,p99_ms,p999_ms,coverage_mean,coverage_p01,full_share,"
