Set up pending requests of the control client in one place

Cause: three methods repeated the deadline's set-up and two the refusal when too many requests wait. Conclusion: control tests and the quickstart pass; no change of behaviour.

--- a/src/libflamingo/control/controlclientpending.cpp
+++ b/src/libflamingo/control/controlclientpending.cpp
@@ -26,6 +26,17 @@
     return result;
 }
 
+Reason tooManyWaiting() { return { ResultCode::Overloaded, "too many requests are waiting for control" }; }
+
+// A template, since the entry's type is private to the client.
+template <typename Entry> Entry entryUntil(MonotonicTime deadline)
+{
+    Entry entry;
+    entry.m_deadline = deadline;
+    entry.m_retryUntil = deadline;
+    return entry;
+}
+
 } // namespace
 
 void ControlClient::prepareClaim(CommandBody& body)
@@ -56,9 +67,7 @@
         return;
     }
     prepareClaim(command.m_body);
-    Pending pending;
-    pending.m_deadline = now + timeout;
-    pending.m_retryUntil = pending.m_deadline;
+    auto pending = entryUntil<Pending>(now + timeout);
     if (std::holds_alternative<SettleClaim>(command.m_body))
         pending.m_retryUntil = std::max(pending.m_deadline, now + settlePersistence);
     pending.m_request = CommandRequest { 0, std::move(command) };
@@ -69,12 +78,10 @@
 void ControlClient::queryStatus(Revision revision, Milliseconds timeout, StatusHandler handler, MonotonicTime now)
 {
     if (m_pending.size() >= maximumPending) {
-        handler(std::nullopt, Reason { ResultCode::Overloaded, "too many requests are waiting for control" });
+        handler(std::nullopt, tooManyWaiting());
         return;
     }
-    Pending pending;
-    pending.m_deadline = now + timeout;
-    pending.m_retryUntil = pending.m_deadline;
+    auto pending = entryUntil<Pending>(now + timeout);
     pending.m_request = StatusRequest { 0, revision };
     pending.m_statusHandler = std::move(handler);
     addPending(std::move(pending));
@@ -83,12 +90,10 @@
 void ControlClient::administer(AdminRequest request, Milliseconds timeout, AdminHandler handler, MonotonicTime now)
 {
     if (m_pending.size() >= maximumPending) {
-        handler(std::nullopt, Reason { ResultCode::Overloaded, "too many requests are waiting for control" });
+        handler(std::nullopt, tooManyWaiting());
         return;
     }
-    Pending pending;
-    pending.m_deadline = now + timeout;
-    pending.m_retryUntil = pending.m_deadline;
+    auto pending = entryUntil<Pending>(now + timeout);
     pending.m_request = std::move(request);
     pending.m_adminHandler = std::move(handler);
     addPending(std::move(pending));
