--- a/bench/clientcost/clientcost.cpp
+++ b/bench/clientcost/clientcost.cpp
@@ -114,7 +114,7 @@
         call.m_request = RequestId("1700000000-0123456789abcdef");
         call.m_kind = "query";
         call.m_body = R"({"text":"comfort in autumn","limit":10})";
-        call.m_deadline = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+        call.m_deadline = monotonicNow() + std::chrono::seconds(1);
         client.start(std::move(call), [&, endpoint](const EndpointReply& reply) {
             if (reply.m_outcome != CallOutcome::Answered) {
                 std::fprintf(stderr, "call failed: %s\n", reply.m_text.c_str());
--- a/bench/endpoint/announcer.cpp
+++ b/bench/endpoint/announcer.cpp
@@ -137,7 +137,7 @@
     entry.m_endpoint = &endpoint;
     // Spreads renewals over the period, so that thousands of endpoints do not renew at one instant.
     const auto phase = Milliseconds((m_entries.size() * 37) % static_cast<std::size_t>(renewalPeriod.count()));
-    entry.m_due = std::chrono::steady_clock::now() + (m_entries.size() < 100 ? Milliseconds(0) : phase);
+    entry.m_due = monotonicNow() + (m_entries.size() < 100 ? Milliseconds(0) : phase);
     m_entries.push_back(entry);
 }
 
@@ -153,7 +153,7 @@
     entry.m_action = action;
     entry.m_draining = action == Action::Drain;
     ++entry.m_change;
-    entry.m_due = std::chrono::steady_clock::now();
+    entry.m_due = monotonicNow();
 }
 
 void Announcer::drain(LogicalEndpoint& endpoint) { want(endpoint, Action::Drain); }
@@ -163,13 +163,13 @@
 
 void Announcer::whenIdle(Milliseconds timeout, std::function<void()> done)
 {
-    m_doneBy = std::chrono::steady_clock::now() + timeout;
+    m_doneBy = monotonicNow() + timeout;
     m_done = std::move(done);
 }
 
 void Announcer::tick()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = monotonicNow();
     bool idle = true;
     for (std::size_t i = 0; i < m_entries.size() && !m_connections.empty(); ++i) {
         Entry& entry = m_entries[i];
@@ -219,7 +219,7 @@
     Entry& entry = m_entries[index];
     entry.m_queued = false;
     if (change == entry.m_change) {
-        entry.m_due = std::chrono::steady_clock::now() + (accepted ? renewalPeriod : retryPeriod);
+        entry.m_due = monotonicNow() + (accepted ? renewalPeriod : retryPeriod);
         if (accepted && action == Action::Leave)
             entry.m_action = Action::None;
         else if (accepted && action == Action::Register && entry.m_draining)
@@ -231,7 +231,7 @@
         else if (connected && action == Action::Leave)
             entry.m_action = Action::None; // not known there, so there is nothing to leave
         if (entry.m_action == Action::Drain || (entry.m_action == Action::Register && action == Action::Renew))
-            entry.m_due = std::chrono::steady_clock::now();
+            entry.m_due = monotonicNow();
     }
     dispatch();
 }
--- a/bench/endpoint/logicalendpoint.cpp
+++ b/bench/endpoint/logicalendpoint.cpp
@@ -45,7 +45,7 @@
     m_stub.m_record.m_port = m_acceptor.local_endpoint().port();
     // Taken from the system, since a restarted process must not repeat the number of its predecessor.
     m_stub.m_record.m_incarnation = Incarnation((std::uint64_t(std::random_device()()) << 20U) ^ m_random() % 1048576);
-    m_startedAt = std::chrono::steady_clock::now();
+    m_startedAt = monotonicNow();
     accept();
 }
 
@@ -185,7 +185,7 @@
     while (m_running < m_stub.m_record.m_slots && !m_waiting.empty()) {
         const auto session = m_waiting.front();
         m_waiting.pop_front();
-        if (session->m_deadline <= std::chrono::steady_clock::now())
+        if (session->m_deadline <= monotonicNow())
             shed(*session);
         else
             begin(session);
@@ -225,7 +225,7 @@
     double time = faults.m_medianMs * std::exp(sigma * std::normal_distribution<double>()(m_random));
     if (chance(faults.m_slowFraction))
         time *= faults.m_slowFactor;
-    const double age = FloatMs(std::chrono::steady_clock::now() - m_startedAt).count();
+    const double age = FloatMs(monotonicNow() - m_startedAt).count();
     if (age < faults.m_coldMs)
         time *= faults.m_coldFactor;
     if (faults.m_stallEveryMs > 0) {
--- a/bench/endpoint/session.cpp
+++ b/bench/endpoint/session.cpp
@@ -59,7 +59,7 @@
     m_request = m_parser->release();
     const auto remaining
         = field("X-Flamingo-Deadline-Ms").empty() ? std::uint64_t(60000) : number("X-Flamingo-Deadline-Ms");
-    m_deadline = std::chrono::steady_clock::now() + Milliseconds(remaining);
+    m_deadline = monotonicNow() + Milliseconds(remaining);
     watch();
     if (m_state != State::Silent)
         m_endpoint->arrive(shared_from_this());
--- a/bench/endpoint/tests/stubendpoint.cpp
+++ b/bench/endpoint/tests/stubendpoint.cpp
@@ -67,9 +67,9 @@
 
     template <typename Condition> void runUntil(Condition condition)
     {
-        const auto end = std::chrono::steady_clock::now() + hangLimit;
+        const auto end = monotonicNow() + hangLimit;
         while (!condition()) {
-            REQUIRE(std::chrono::steady_clock::now() < end);
+            REQUIRE(monotonicNow() < end);
             m_context.run_one_for(10ms);
         }
     }
@@ -87,7 +87,7 @@
         call.m_layout = LayoutId(1);
         call.m_shard = ShardIndex(shard);
         call.m_body = body;
-        call.m_deadline = std::chrono::steady_clock::now() + 5s;
+        call.m_deadline = monotonicNow() + 5s;
         m_client.start(call, [this](EndpointReply reply) { m_replies.push_back(std::move(reply)); });
     }
 
--- a/bench/links/linkcost.cpp
+++ b/bench/links/linkcost.cpp
@@ -56,10 +56,10 @@
 
 void runFor(boost::asio::io_context& io, std::vector<std::unique_ptr<ControlLink>>& links, std::chrono::seconds time)
 {
-    const auto end = std::chrono::steady_clock::now() + time;
-    while (std::chrono::steady_clock::now() < end) {
+    const auto end = monotonicNow() + time;
+    while (monotonicNow() < end) {
         for (const auto& link : links)
-            link->tick(std::chrono::steady_clock::now());
+            link->tick(monotonicNow());
         io.run_for(tickInterval);
         io.restart();
     }
@@ -90,7 +90,7 @@
     const Usage after = readUsage(pid);
     long serving = 0;
     for (const auto& link : links)
-        serving += link->client().mayServe(std::chrono::steady_clock::now()) ? 1 : 0;
+        serving += link->client().mayServe(monotonicNow()) ? 1 : 0;
     const double cpu = (after.m_cpuSeconds - before.m_cpuSeconds) / double(length.count());
     std::printf(
         "links,serving,cpu_fraction,resident_kb\n%ld,%ld,%.4f,%ld\n", count, serving, cpu, after.m_residentKilobytes);
--- a/src/libflamingo/api/apiserver.cpp
+++ b/src/libflamingo/api/apiserver.cpp
@@ -296,7 +296,7 @@
     if (!m_running)
         return true;
     m_running = false;
-    const auto until = std::chrono::steady_clock::now() + m_settings.m_stopTimeout;
+    const auto until = monotonicNow() + m_settings.m_stopTimeout;
     {
         // Callers that still connect are answered with a refusal meanwhile.
         std::unique_lock lock(m_mutex);
--- a/src/libflamingo/api/uploadguard.cpp
+++ b/src/libflamingo/api/uploadguard.cpp
@@ -82,7 +82,7 @@
     const std::lock_guard lock(m_mutex);
     connection->m_uploading = true;
     connection->m_consumedBefore = consumedBytes(connection->m_socket);
-    connection->m_since = std::chrono::steady_clock::now();
+    connection->m_since = monotonicNow();
 }
 
 bool UploadGuard::end(WatchedConnection* connection)
@@ -96,7 +96,7 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_wake.wait_for(lock, checkInterval, [this] { return m_stopped; })) {
-        const MonotonicTime now = std::chrono::steady_clock::now();
+        const MonotonicTime now = monotonicNow();
         for (WatchedConnection& connection : m_connections)
             check(connection, now);
     }
--- a/src/libflamingo/base/log.cpp
+++ b/src/libflamingo/base/log.cpp
@@ -138,7 +138,7 @@
 {
     boost::shared_ptr<std::ostream> stream;
     if (settings.m_file.empty()) {
-        stream.reset(&std::clog, boost::null_deleter());
+        stream.reset(&std::cout, boost::null_deleter());
     } else {
         // Appending works with tools that truncate the file to rotate it.
         stream = boost::make_shared<std::ofstream>(settings.m_file, std::ios::app);
--- a/src/libflamingo/base/logsettings.h
+++ b/src/libflamingo/base/logsettings.h
@@ -9,7 +9,7 @@
 /** Where log lines go, and which. */
 struct LogSettings {
     LogLevel m_level = LogLevel::Info;
-    std::string m_file; // appended to; empty for standard error
+    std::string m_file; // appended to; empty for standard output
 };
 
 } // namespace flamingo
--- a/src/libflamingo/base/resultcode.cpp
+++ b/src/libflamingo/base/resultcode.cpp
@@ -83,6 +83,12 @@
         return "WrongIdempotence";
     case ResultCode::CommandIdReused:
         return "CommandIdReused";
+    case ResultCode::InvalidRoutes:
+        return "InvalidRoutes";
+    case ResultCode::UnknownRoute:
+        return "UnknownRoute";
+    case ResultCode::NoConfiguration:
+        return "NoConfiguration";
     }
     return "Unlisted";
 }
--- a/src/libflamingo/base/resultcode.h
+++ b/src/libflamingo/base/resultcode.h
@@ -27,6 +27,7 @@
     DeadlineTooShort = 1012,
     NotLeader = 1013,
     ClaimsFull = 1014,
+    NoConfiguration = 1015,
 
     DeadlineExceeded = 2001,
     CoverageBelowFloor = 2002,
@@ -54,6 +55,8 @@
     InvalidSettings = 4013,
     WrongIdempotence = 4014,
     CommandIdReused = 4015,
+    InvalidRoutes = 4016,
+    UnknownRoute = 4017,
 };
 
 enum class ResultClass {
--- a/src/libflamingo/base/time.h
+++ b/src/libflamingo/base/time.h
@@ -4,18 +4,40 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace flamingo {
 
 using Milliseconds = std::chrono::milliseconds;
 using Microseconds = std::chrono::microseconds;
-using MonotonicTime = std::chrono::steady_clock::time_point;
 
+/**
+ * Monotonic clock that also counts the time during which the VM is suspended.
+ *
+ * std::chrono::steady_clock stands still then, so that a lease measured with it would outlive its grant.
+ */
+struct MonotonicClock {
+    using duration = std::chrono::nanoseconds; // NOLINT(readability-identifier-naming)
+    using rep = duration::rep; // NOLINT(readability-identifier-naming)
+    using period = duration::period; // NOLINT(readability-identifier-naming)
+    using time_point = std::chrono::time_point<MonotonicClock>; // NOLINT(readability-identifier-naming)
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
+
+    /** Returns the current time. Thread-safe. */
+    static time_point now()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
+using MonotonicTime = MonotonicClock::time_point;
 // Unix time in milliseconds as agreed in the replicated log; it never decreases.
 using LogTime = StrongValue<struct LogTimeTag, std::int64_t>;
 
 /** Returns the monotonic clock. Thread-safe. */
-inline MonotonicTime monotonicNow() { return std::chrono::steady_clock::now(); }
+inline MonotonicTime monotonicNow() { return MonotonicClock::now(); }
 
 /** Returns the wall clock as Unix milliseconds. Thread-safe. */
 inline LogTime wallClock()
--- a/src/libflamingo/consensus/consensusjoin.cpp
+++ b/src/libflamingo/consensus/consensusjoin.cpp
@@ -10,6 +10,8 @@
 
 constexpr Milliseconds kInvitationLifetime { 60'000 };
 constexpr Milliseconds kInvitationInterval { 500 };
+// A voter that is silent this long may be removed when the number of voters is even. Longer than a restart takes.
+constexpr Milliseconds kSurplusSilence { 2500 };
 
 bool hasVm(const Configuration& configuration, const VmId& vm)
 {
@@ -55,7 +57,8 @@
     } else if (wasRemoved(configuration, message.m_from)) {
         answer.m_removed = true;
         answer.m_text = "this member was removed from the cluster";
-    } else if (hasVm(configuration, request.m_vm) || m_invitations.count(request.m_vm)) {
+    } else if (m_settings.m_openMembership || hasVm(configuration, request.m_vm)
+        || m_invitations.count(request.m_vm)) {
         const MemberRecord record { message.m_from, request.m_vm, message.m_fromAddress, false };
         answer.m_accepted = run(AddLearnerEvent { record }, now);
         if (!answer.m_accepted)
@@ -98,6 +101,31 @@
     return true;
 }
 
+void ConsensusMember::removeSurplusVoter(MonotonicTime now)
+{
+    if (!m_settings.m_openMembership || role() != Role::Leader)
+        return;
+    const Configuration& configuration = latestConfiguration(m_raft.m_log);
+    // With an odd number each voter adds to the losses that are borne; the last one of an even number does not.
+    if (voterCount(configuration) % 2 != 0)
+        return;
+    const MemberRecord* silent = nullptr;
+    for (const MemberRecord& member : configuration.m_members) {
+        if (!member.m_voter || member.m_id == m_raft.m_self)
+            continue;
+        const auto progress = m_raft.m_progress.find(member.m_id);
+        const bool answers = progress != m_raft.m_progress.end() && progress->second.m_lastHeard
+            && now - *progress->second.m_lastHeard < kSurplusSilence;
+        if (answers || now - m_raft.m_leaderSince < kSurplusSilence)
+            continue;
+        if (silent)
+            return; // two are silent, so that neither can be spared for certain
+        silent = &member;
+    }
+    if (silent)
+        run(RemoveMemberEvent { MemberId(silent->m_id) }, now);
+}
+
 void ConsensusMember::runInvitations(MonotonicTime now)
 {
     if (role() != Role::Leader) {
--- a/src/libflamingo/consensus/consensusmember.cpp
+++ b/src/libflamingo/consensus/consensusmember.cpp
@@ -233,6 +233,7 @@
         return;
     runBootstrap(now);
     runInvitations(now);
+    removeSurplusVoter(now);
     flush(now);
 }
 
--- a/src/libflamingo/consensus/consensusmember.h
+++ b/src/libflamingo/consensus/consensusmember.h
@@ -126,6 +126,7 @@
     std::string addressOf(const MemberId& member) const;
     void runBootstrap(MonotonicTime now);
     void runInvitations(MonotonicTime now);
+    void removeSurplusVoter(MonotonicTime now);
     void handleJoin(const RaftMessage& message, const JoinRequest& request, MonotonicTime now);
     void handleInvited(const RaftMessage& message, const StatusAnswer& answer, MonotonicTime now);
     void handleJoinAnswer(const JoinAnswer& answer);
--- a/src/libflamingo/consensus/membersettings.h
+++ b/src/libflamingo/consensus/membersettings.h
@@ -19,6 +19,9 @@
     std::string m_address; // IP address and port at which the other members reach this one
     std::vector<InitialMember> m_initialMembers;
     bool m_bootstrapAllowed = false; // it suffices that one of the initial members allows it
+    // VMs that are not listed may join; one of an even number of voters that falls silent is then removed, so that
+    // a replacement at another address takes over its vote. A removed member rejoins with an empty data folder.
+    bool m_openMembership = false;
     // Must be unpredictable: the incarnation in the member id and the election timeouts are derived from it.
     std::uint64_t m_seed = 0;
     std::uint64_t m_snapshotInterval = 256; // applied entries
--- a/src/libflamingo/control/applychange.cpp
+++ b/src/libflamingo/control/applychange.cpp
@@ -38,6 +38,11 @@
     void operator()(const ErasedLayout& e) const { erase(m_state, m_state.m_layouts, e.m_layout); }
     void operator()(const ErasedVm& e) const { erase(m_state, m_state.m_vms, e.m_vm); }
     void operator()(const ErasedQuarantine& e) const { erase(m_state, m_state.m_quarantine, e.m_fingerprint); }
+    void operator()(const RouteHeader& r) const { m_state.m_routeHeader = r; }
+    void operator()(const Route& r) const { upsert(m_state, m_state.m_routes, r.m_key, r); }
+    void operator()(const RoutedService& r) const { upsert(m_state, m_state.m_routedServices, r.m_name, r); }
+    void operator()(const ErasedRoute& e) const { erase(m_state, m_state.m_routes, e.m_route); }
+    void operator()(const ErasedRoutedService& e) const { erase(m_state, m_state.m_routedServices, e.m_service); }
     void operator()(const OperatorDrainChange& c) const
     {
         const std::uint64_t hash = operatorDrainHash(c.m_endpoint);
--- a/src/libflamingo/control/applycontext.h
+++ b/src/libflamingo/control/applycontext.h
@@ -43,6 +43,9 @@
 CommandResult applyBody(ApplyContext& context, const DrainEndpoint& command);
 CommandResult applyBody(ApplyContext& context, const RestoreEndpoint& command);
 
+// Routes (applyroutes.cpp).
+CommandResult applyBody(ApplyContext& context, const ReplaceRoutes& command);
+
 // Announcements (applyendpoints.cpp).
 CommandResult applyBody(ApplyContext& context, const RegisterEndpoint& command);
 CommandResult applyBody(ApplyContext& context, const DrainOwnEndpoint& command);
--- a/src/libflamingo/control/applyendpoints.cpp
+++ b/src/libflamingo/control/applyendpoints.cpp
@@ -175,8 +175,11 @@
     CommandResult result = checkEndpoint(endpoint);
     if (result.m_code != ResultCode::Ok)
         return result;
-    if (state.m_published.m_services.count(endpoint.m_service) == 0)
+    // Routed services may start before the configuration that names them.
+    if (!endpoint.m_routed && state.m_published.m_services.count(endpoint.m_service) == 0)
         return refusal(ResultCode::UnknownService, "there is no service " + endpoint.m_service.value());
+    if (endpoint.m_routed && !endpoint.m_holdings.empty())
+        return invalid(endpoint, "a routed endpoint holds no shards");
     if (hasLeft(state, endpoint))
         return invalid(endpoint, "this incarnation has left; a new registration needs a new incarnation");
     std::map<LayoutKey, const SnapshotLayout*> used;
--- /dev/null
+++ b/src/libflamingo/control/applyroutes.cpp
@@ -0,0 +1,53 @@
+#include "control/applycontext.h"
+#include "control/digest.h"
+#include "routes/routevalidation.h"
+
+#include <map>
+
+namespace flamingo::detail {
+
+namespace {
+
+// Notes as changes only what differs, so that a configuration with one new route travels as that route.
+template <typename Erased, typename Key, typename Record>
+void replaceRecords(ApplyContext& context, const std::map<Key, Record>& current, std::map<Key, const Record*> wanted)
+{
+    std::vector<Key> obsolete;
+    for (const auto& [key, record] : current) {
+        if (wanted.count(key) == 0)
+            obsolete.push_back(key);
+    }
+    for (const Key& key : obsolete)
+        context.change(Erased { key });
+    for (const auto& [key, record] : wanted) {
+        const auto earlier = current.find(key);
+        if (earlier == current.end() || recordHash(earlier->second) != recordHash(*record))
+            context.change(*record);
+    }
+}
+
+} // namespace
+
+CommandResult applyBody(ApplyContext& context, const ReplaceRoutes& command)
+{
+    const PublishedState& published = context.m_state.m_published;
+    const RouteConfiguration& configuration = command.m_configuration;
+    if (configuration.m_header.m_version <= published.m_routeHeader.m_version)
+        return success("version " + std::to_string(published.m_routeHeader.m_version.value()) + " is in force");
+    Reason reason;
+    if (!validateRoutes(configuration, reason))
+        return refusal(reason.m_code, reason.m_text);
+    std::map<RouteKey, const Route*> routes;
+    for (const Route& route : configuration.m_routes)
+        routes[route.m_key] = &route;
+    std::map<ServiceName, const RoutedService*> services;
+    for (const RoutedService& service : configuration.m_services)
+        services[service.m_name] = &service;
+    replaceRecords<ErasedRoute>(context, published.m_routes, std::move(routes));
+    replaceRecords<ErasedRoutedService>(context, published.m_routedServices, std::move(services));
+    context.change(configuration.m_header);
+    context.m_state.m_routesDocument = command.m_document;
+    return success();
+}
+
+} // namespace flamingo::detail
--- a/src/libflamingo/control/codecdecode.cpp
+++ b/src/libflamingo/control/codecdecode.cpp
@@ -226,7 +226,7 @@
 
 bool fromJson(const Json& json, PublishedState& state, Reason& reason)
 {
-    constexpr std::size_t count = 8;
+    constexpr std::size_t count = 11;
     if (!json.is_array() || json.size() != count)
         return fail(reason, "PublishedState: expected " + std::to_string(count) + " fields");
     std::vector<EndpointId> drains;
@@ -236,7 +236,9 @@
         && recordsFromJson<ServiceDefinition>(json[2], state, reason)
         && recordsFromJson<EndpointRecord>(json[3], state, reason) && fromJson(json[4], drains, reason)
         && recordsFromJson<SnapshotLayout>(json[5], state, reason) && recordsFromJson<VmRecord>(json[6], state, reason)
-        && recordsFromJson<QuarantineRecord>(json[7], state, reason);
+        && recordsFromJson<QuarantineRecord>(json[7], state, reason)
+        && fromJson(json[8], state.m_routeHeader, reason) && recordsFromJson<Route>(json[9], state, reason)
+        && recordsFromJson<RoutedService>(json[10], state, reason);
     for (const EndpointId& endpoint : drains)
         applyChange(state, OperatorDrainChange { endpoint, true });
     return ok;
--- a/src/libflamingo/control/codecencode.cpp
+++ b/src/libflamingo/control/codecencode.cpp
@@ -91,7 +91,7 @@
 
 void write(CborWriter& writer, const PublishedState& state)
 {
-    writer.array(8);
+    writer.array(11);
     write(writer, state.m_revision);
     write(writer, state.m_configurationVersion);
     writeRecords(writer, state.m_services);
@@ -100,6 +100,9 @@
     writeRecords(writer, state.m_layouts);
     writeRecords(writer, state.m_vms);
     writeRecords(writer, state.m_quarantine);
+    write(writer, state.m_routeHeader);
+    writeRecords(writer, state.m_routes);
+    writeRecords(writer, state.m_routedServices);
 }
 
 template <typename T> std::string envelope(const char* type, const T& body)
--- a/src/libflamingo/control/command.h
+++ b/src/libflamingo/control/command.h
@@ -6,6 +6,7 @@
 #include "control/servicepatch.h"
 #include "control/snapshotlayout.h"
 #include "control/vmrecord.h"
+#include "routes/routeconfiguration.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,15 @@
 struct RestoreEndpoint {
     EndpointId m_endpoint;
 };
+/**
+ * Replaces all routes, unless the configuration in force has the same or a higher version.
+ *
+ * It succeeds either way: a resend must get the same result, also after a later configuration.
+ */
+struct ReplaceRoutes {
+    RouteConfiguration m_configuration;
+    std::string m_document; // as the operator sent it
+};
 struct LiftQuarantine {
     Fingerprint m_fingerprint;
 };
@@ -117,7 +127,7 @@
 
 using CommandBody = std::variant<AdvanceTime, CreateService, AlterService, DropService, DrainEndpoint, RestoreEndpoint,
     LiftQuarantine, RegisterEndpoint, DrainOwnEndpoint, RemoveEndpoints, AdmitVm, DepartVm, RemoveVm, OpenClaim,
-    SettleClaim, ReportDeath, ClearSuspect>;
+    SettleClaim, ReportDeath, ClearSuspect, ReplaceRoutes>;
 
 /** One entry of the replicated log as the state machine sees it. */
 struct Command {
--- a/src/libflamingo/control/controlclient.cpp
+++ b/src/libflamingo/control/controlclient.cpp
@@ -224,6 +224,12 @@
     expirePending(now);
 }
 
+void ControlClient::setControlAddresses(std::vector<std::string> addresses)
+{
+    if (!addresses.empty())
+        m_settings.m_controlAddresses = std::move(addresses);
+}
+
 void ControlClient::noteEndpointRenewal(const EndpointId& endpoint) { m_endpointRenewals.insert(endpoint); }
 
 void ControlClient::leave(MonotonicTime now)
--- a/src/libflamingo/control/controlclient.h
+++ b/src/libflamingo/control/controlclient.h
@@ -81,6 +81,9 @@
      */
     void administer(AdminRequest request, Milliseconds timeout, AdminHandler handler, MonotonicTime now);
 
+    /** Replaces the addresses of control VMs; an open link stays. Without effect for an empty list. */
+    void setControlAddresses(std::vector<std::string> addresses);
+
     /** Passes on that an endpoint renewed here, with the next renewal of the lease. */
     void noteEndpointRenewal(const EndpointId& endpoint);
 
--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -8,9 +8,10 @@
 
 namespace flamingo {
 
-ControlService::ControlService(ControlServicePorts ports, std::uint64_t proposer)
+ControlService::ControlService(ControlServicePorts ports, std::uint64_t proposer, ControlServiceSettings settings)
     : m_ports(std::move(ports))
     , m_proposer(proposer)
+    , m_settings(settings)
 {
     rebuildIndexes(m_state);
     m_history.reset(m_state.m_published);
@@ -61,8 +62,20 @@
     m_leases = LeaseTable {};
     // The entry may still be committed by the next leader. The entry VM asks it again; a command
     // applies once however often it is proposed.
+    const auto pending = std::move(m_pending);
     m_pending.clear();
     m_ownProposals.clear();
+    CommandResult unknown;
+    unknown.m_code = ResultCode::CommandOutcomeUnknown;
+    unknown.m_text = "this VM stopped leading before the command was applied";
+    for (const auto& [number, command] : pending) {
+        if (command.m_handler)
+            command.m_handler(unknown);
+    }
+    const auto reads = std::move(m_reads);
+    m_reads.clear();
+    for (const PendingRead& read : reads)
+        read.m_handler(false);
     if (!wasLeader)
         return;
     for (const auto& [link, session] : m_sessions)
@@ -281,7 +294,7 @@
         return true;
     }
     const std::uint64_t number = ++m_lastNumber;
-    m_pending[number] = PendingCommand { link, request.m_sequence };
+    m_pending[number] = PendingCommand { link, request.m_sequence, nullptr };
     if (!proposeCommand(request.m_command, number)) {
         ++m_counters.m_commandsRefused;
         m_pending.erase(number);
@@ -290,6 +303,44 @@
     return true;
 }
 
+void ControlService::submit(Command command, std::function<void(const CommandResult&)> handler)
+{
+    ++m_counters.m_commands;
+    CommandResult refused;
+    refused.m_code = ResultCode::NotLeader;
+    refused.m_text = "this VM does not lead";
+    if (!leads() || m_pending.size() >= maximumPendingCommands) {
+        ++m_counters.m_commandsRefused;
+        handler(refused);
+        return;
+    }
+    const std::uint64_t number = ++m_lastNumber;
+    m_pending[number] = PendingCommand { LinkId(), 0, std::move(handler) };
+    if (proposeCommand(std::move(command), number))
+        return;
+    ++m_counters.m_commandsRefused;
+    const auto pending = m_pending.extract(number);
+    if (!pending.empty())
+        pending.mapped().m_handler(refused);
+}
+
+void ControlService::confirmRead(std::function<void(bool)> handler, MonotonicTime now)
+{
+    refreshRole(now);
+    if (!m_ready) {
+        handler(false);
+        return;
+    }
+    m_reads.push_back(PendingRead { now, std::move(handler) });
+}
+
+void ControlService::noteRenewal(const EndpointId& endpoint, MonotonicTime now)
+{
+    ++m_counters.m_endpointRenewals;
+    if (m_state.m_published.m_endpoints.count(endpoint) > 0)
+        m_endpointHeard[endpoint] = now;
+}
+
 bool ControlService::proposeCommand(Command command, std::uint64_t number)
 {
     command.m_proposedAt = m_ports.m_wallClock();
@@ -400,7 +451,9 @@
         return;
     const PendingCommand command = pending->second;
     m_pending.erase(pending);
-    if (m_sessions.count(command.m_link) > 0)
+    if (command.m_handler)
+        command.m_handler(result);
+    else if (m_sessions.count(command.m_link) > 0)
         send(command.m_link, CommandReply { command.m_sequence, result });
 }
 
--- a/src/libflamingo/control/controlservice.h
+++ b/src/libflamingo/control/controlservice.h
@@ -3,18 +3,21 @@
 #include "base/reason.h"
 #include "control/controlservicecounters.h"
 #include "control/controlserviceports.h"
+#include "control/controlservicesettings.h"
 #include "control/controlstate.h"
 #include "control/deltahistory.h"
 #include "control/leasetable.h"
 #include "control/messages.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace flamingo {
 
@@ -27,11 +30,6 @@
  */
 class ControlService {
 public:
-    // Endpoints renew every 2 s; one that is silent this long is removed.
-    static constexpr Milliseconds endpointTtl { 10000 };
-    // Removals wait this long for more, so that a lost data centre becomes one command: its endpoints
-    // expire within one renewal interval of each other.
-    static constexpr Milliseconds removalBatchDelay { 2000 };
     // A VM without a lease departs this long after its last renewal could have been granted.
     static constexpr Milliseconds departureGrace { 2000 };
     // A VM whose state is older than this gets no lease: one that renews without applying changes
@@ -44,8 +42,11 @@
     // Full copies sent in one tick. At 5 MB for 53,000 endpoints more would fill the leader's network.
     static constexpr int maximumFullCopiesPerTick = 4;
 
+    // A read that no majority confirms by then is given up.
+    static constexpr Milliseconds readTimeout { 800 };
+
     /** Creates the service. The proposer number is random and differs for each process. */
-    ControlService(ControlServicePorts ports, std::uint64_t proposer);
+    ControlService(ControlServicePorts ports, std::uint64_t proposer, ControlServiceSettings settings = {});
 
     // Events of links with entry VMs.
     void onLinkOpened(LinkId link);
@@ -68,6 +69,23 @@
     /** To be called when this VM starts or stops to lead, or leads a new term. */
     void onRoleChanged(MonotonicTime now);
 
+    // Requests on this VM itself.
+    /**
+     * Proposes the command and calls the handler once it is applied.
+     *
+     * The result is NotLeader (did not run) if this VM does not lead and CommandOutcomeUnknown if it stops leading
+     * before the command is applied. The handler may be called before this returns.
+     */
+    void submit(Command command, std::function<void(const CommandResult&)> handler);
+    /**
+     * Calls the handler with true once a majority has confirmed, after this call, that this VM leads: state() then
+     * holds every change that was acknowledged before the call. With false if it does not lead or the confirmation
+     * takes longer than readTimeout.
+     */
+    void confirmRead(std::function<void(bool)> handler, MonotonicTime now);
+    /** Notes that the endpoint renewed at this VM; without effect for an unknown one. */
+    void noteRenewal(const EndpointId& endpoint, MonotonicTime now);
+
     /** Sends deltas and expires what is due. To be called every 20 to 200 ms. */
     void tick(MonotonicTime now);
 
@@ -95,6 +113,11 @@
     struct PendingCommand {
         LinkId m_link;
         std::uint64_t m_sequence = 0;
+        std::function<void(const CommandResult&)> m_handler; // set instead of the link for a request on this VM
+    };
+    struct PendingRead {
+        MonotonicTime m_since;
+        std::function<void(bool)> m_handler;
     };
     using VmProcess = std::pair<VmId, Incarnation>;
 
@@ -133,12 +156,14 @@
     void sendEncoded(LinkId link, const std::string& bytes);
 
     void noteLag(MonotonicTime now);
+    void finishReads(MonotonicTime now);
     void expireEndpoints(MonotonicTime now);
     void departVms(MonotonicTime now);
     void removeVms(MonotonicTime now);
 
     ControlServicePorts m_ports;
     std::uint64_t m_proposer;
+    ControlServiceSettings m_settings;
     ControlState m_state;
     DeltaHistory m_history;
     std::vector<Change> m_changes; // of the entry being applied
@@ -165,6 +190,7 @@
     MonotonicTime m_nextExpiry;
     std::uint64_t m_lastNumber = 0;
     std::map<std::uint64_t, PendingCommand> m_pending;
+    std::vector<PendingRead> m_reads; // in order of arrival
     std::map<std::string, std::pair<std::uint64_t, MonotonicTime>> m_ownProposals; // by what they do
 };
 
--- a/src/libflamingo/control/controlservicetick.cpp
+++ b/src/libflamingo/control/controlservicetick.cpp
@@ -25,6 +25,7 @@
         m_graceFrom = now;
     m_lastTick = now;
     noteLag(now);
+    finishReads(now);
     raiseFloor(m_leases, m_wanted, now);
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + expiryScanPeriod;
@@ -88,6 +89,23 @@
     m_ports.m_send(link, bytes);
 }
 
+// --- Reads.
+
+void ControlService::finishReads(MonotonicTime now)
+{
+    const std::optional<MonotonicTime> round = m_ports.m_confirmedRoundStart();
+    std::size_t finished = 0;
+    while (finished < m_reads.size()) {
+        const PendingRead& read = m_reads[finished];
+        const bool confirmed = round && *round > read.m_since;
+        if (!confirmed && now - read.m_since < readTimeout)
+            break;
+        ++finished;
+        read.m_handler(confirmed);
+    }
+    m_reads.erase(m_reads.begin(), m_reads.begin() + static_cast<std::ptrdiff_t>(finished));
+}
+
 // --- Expiry.
 
 void ControlService::noteLag(MonotonicTime now)
@@ -113,10 +131,10 @@
     for (const auto& [id, endpoint] : m_state.m_published.m_endpoints) {
         const auto heard = m_endpointHeard.find(id);
         const MonotonicTime last = heard != m_endpointHeard.end() ? std::max(heard->second, m_graceFrom) : m_graceFrom;
-        if (now - last < endpointTtl)
+        if (now - last < m_settings.m_endpointTtl)
             continue;
         removal.m_targets.push_back({ id, endpoint.m_incarnation, true });
-        batchIsDue = batchIsDue || now - last >= endpointTtl + removalBatchDelay;
+        batchIsDue = batchIsDue || now - last >= m_settings.m_endpointTtl + m_settings.m_removalBatchDelay;
     }
     if (!batchIsDue)
         return;
--- a/src/libflamingo/control/controlstate.h
+++ b/src/libflamingo/control/controlstate.h
@@ -38,6 +38,7 @@
     std::uint64_t m_lastResultNumber = 0;
     std::map<Fingerprint, SuspectRecord> m_suspects;
     std::map<EndpointId, LeftEndpoint> m_leftEndpoints;
+    std::string m_routesDocument; // the route configuration in force as the operator sent it
 
     // Derived from the members above by rebuildIndexes(); not part of a snapshot.
     std::uint64_t m_claimBytes = 0;
--- a/src/libflamingo/control/deltahistory.cpp
+++ b/src/libflamingo/control/deltahistory.cpp
@@ -22,6 +22,13 @@
     std::string operator()(const ErasedQuarantine& e) const { return "q" + std::to_string(e.m_fingerprint.value()); }
     std::string operator()(const OperatorDrainChange& c) const { return "d" + c.m_endpoint.value(); }
 
+    std::string operator()(const RouteHeader&) const { return "h"; }
+    std::string operator()(const Route& r) const { return route(r.m_key); }
+    std::string operator()(const ErasedRoute& e) const { return route(e.m_route); }
+    std::string operator()(const RoutedService& r) const { return "f" + r.m_name.value(); }
+    std::string operator()(const ErasedRoutedService& e) const { return "f" + e.m_service.value(); }
+
+    static std::string route(const RouteKey& key) { return "r" + key.m_host + " " + key.m_pathPrefix; }
     static std::string layout(const LayoutKey& key)
     {
         return "l" + std::to_string(key.m_version.value()) + "/" + std::to_string(key.m_layout.value()) + "/"
--- a/src/libflamingo/control/digest.cpp
+++ b/src/libflamingo/control/digest.cpp
@@ -17,6 +17,8 @@
     OperatorDrain,
     Whole,
     Command,
+    Route,
+    RoutedService,
 };
 
 template <typename... Ts> std::uint64_t hashOf(HashSeed seed, const Ts&... values)
@@ -33,11 +35,14 @@
 std::uint64_t recordHash(const SnapshotLayout& record) { return hashOf(HashSeed::Layout, record); }
 std::uint64_t recordHash(const VmRecord& record) { return hashOf(HashSeed::Vm, record); }
 std::uint64_t recordHash(const QuarantineRecord& record) { return hashOf(HashSeed::Quarantine, record); }
+std::uint64_t recordHash(const Route& record) { return hashOf(HashSeed::Route, record); }
+std::uint64_t recordHash(const RoutedService& record) { return hashOf(HashSeed::RoutedService, record); }
 std::uint64_t operatorDrainHash(const EndpointId& endpoint) { return hashOf(HashSeed::OperatorDrain, endpoint); }
 
 std::uint64_t publishedDigest(const PublishedState& state)
 {
-    return hashOf(HashSeed::Whole, state.m_recordSum, state.m_revision, state.m_configurationVersion);
+    return hashOf(
+        HashSeed::Whole, state.m_recordSum, state.m_revision, state.m_configurationVersion, state.m_routeHeader);
 }
 
 std::uint64_t computeRecordSum(const PublishedState& state)
@@ -52,6 +57,8 @@
     addAll(state.m_layouts);
     addAll(state.m_vms);
     addAll(state.m_quarantine);
+    addAll(state.m_routes);
+    addAll(state.m_routedServices);
     for (const EndpointId& endpoint : state.m_operatorDrains)
         sum += operatorDrainHash(endpoint);
     return sum;
--- a/src/libflamingo/control/digest.h
+++ b/src/libflamingo/control/digest.h
@@ -15,6 +15,8 @@
 std::uint64_t recordHash(const SnapshotLayout& record);
 std::uint64_t recordHash(const VmRecord& record);
 std::uint64_t recordHash(const QuarantineRecord& record);
+std::uint64_t recordHash(const Route& record);
+std::uint64_t recordHash(const RoutedService& record);
 
 /** Returns the hash of the fact that an operator drains the endpoint. */
 std::uint64_t operatorDrainHash(const EndpointId& endpoint);
--- a/src/libflamingo/control/endpointrecord.h
+++ b/src/libflamingo/control/endpointrecord.h
@@ -27,6 +27,7 @@
     std::uint32_t m_slots = 1; // requests it runs at the same time
     std::uint32_t m_connections = 1; // connections it accepts from the whole system
     bool m_draining = false; // announced by the endpoint itself
+    bool m_routed = false; // serves a service of the routes and holds no shards of a snapshot
     Revision m_registeredIn; // revision of its last registration
 };
 
--- /dev/null
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -0,0 +1,96 @@
+#include "control/heartbeatdecision.h"
+
+namespace flamingo {
+
+namespace {
+
+bool hasLeft(const ControlState& state, const EndpointRecord& endpoint)
+{
+    const auto left = state.m_leftEndpoints.find(endpoint.m_id);
+    return left != state.m_leftEndpoints.end() && left->second.m_incarnation >= endpoint.m_incarnation;
+}
+
+/** Returns another endpoint that is recorded at the address, or null. */
+const EndpointRecord* otherAtAddress(const PublishedState& published, const EndpointRecord& endpoint)
+{
+    for (const auto& [id, other] : published.m_endpoints) {
+        if (id != endpoint.m_id && other.m_port == endpoint.m_port && other.m_address == endpoint.m_address)
+            return &other;
+    }
+    return nullptr;
+}
+
+bool sameRegistration(const EndpointRecord& a, const EndpointRecord& b)
+{
+    return a.m_service == b.m_service && a.m_address == b.m_address && a.m_port == b.m_port && a.m_slots == b.m_slots
+        && a.m_dataCentre == b.m_dataCentre;
+}
+
+HeartbeatDecision registerEndpoint(const ControlState& state, const EndpointRecord& endpoint, const char* why)
+{
+    HeartbeatDecision decision;
+    decision.m_why = why;
+    if (const EndpointRecord* other = otherAtAddress(state.m_published, endpoint)) {
+        if (other->m_incarnation > endpoint.m_incarnation) {
+            decision.m_why = "late: the address belongs to a later start";
+            return decision;
+        }
+        RemoveEndpoints removal;
+        removal.m_targets.push_back({ other->m_id, other->m_incarnation, false });
+        decision.m_commands.push_back(std::move(removal));
+    }
+    decision.m_commands.push_back(RegisterEndpoint { endpoint, {} });
+    return decision;
+}
+
+} // namespace
+
+HeartbeatDecision decideHeartbeat(const ControlState& state, const EndpointHeartbeat& heartbeat)
+{
+    const EndpointRecord& endpoint = heartbeat.m_endpoint;
+    HeartbeatDecision decision;
+    if (hasLeft(state, endpoint)) {
+        decision.m_why = "late: this incarnation has left";
+        return decision;
+    }
+    const auto known = state.m_published.m_endpoints.find(endpoint.m_id);
+    if (known == state.m_published.m_endpoints.end())
+        return registerEndpoint(state, endpoint, "new endpoint");
+    const EndpointRecord& record = known->second;
+    if (record.m_incarnation > endpoint.m_incarnation) {
+        decision.m_why = "late: a later incarnation is registered";
+        return decision;
+    }
+    if (record.m_incarnation < endpoint.m_incarnation)
+        return registerEndpoint(state, endpoint, "new incarnation");
+    decision.m_renews = true;
+    if (endpoint.m_draining && !record.m_draining) {
+        decision.m_why = "endpoint drains";
+        decision.m_commands.push_back(DrainOwnEndpoint { endpoint.m_id, endpoint.m_incarnation });
+    } else if (!sameRegistration(record, endpoint)) {
+        return registerEndpoint(state, endpoint, "registration changed");
+    }
+    return decision;
+}
+
+HeartbeatDecision decideDeparture(const ControlState& state, const EndpointDeparture& departure)
+{
+    HeartbeatDecision decision;
+    const auto known = state.m_published.m_endpoints.find(departure.m_endpoint);
+    if (known == state.m_published.m_endpoints.end()) {
+        decision.m_why = "endpoint is not known";
+        return decision;
+    }
+    const Incarnation current = known->second.m_incarnation;
+    if (departure.m_incarnation && *departure.m_incarnation < current) {
+        decision.m_why = "late: a later incarnation is registered";
+        return decision;
+    }
+    decision.m_why = "endpoint leaves";
+    RemoveEndpoints removal;
+    removal.m_targets.push_back({ departure.m_endpoint, current, false });
+    decision.m_commands.push_back(std::move(removal));
+    return decision;
+}
+
+} // namespace flamingo
--- a/src/libflamingo/control/messages.h
+++ b/src/libflamingo/control/messages.h
@@ -30,12 +30,19 @@
 struct ErasedQuarantine {
     Fingerprint m_fingerprint;
 };
+struct ErasedRoute {
+    RouteKey m_route;
+};
+struct ErasedRoutedService {
+    ServiceName m_service;
+};
 struct OperatorDrainChange {
     EndpointId m_endpoint;
     bool m_drained = false;
 };
 using Change = std::variant<ServiceDefinition, EndpointRecord, SnapshotLayout, VmRecord, QuarantineRecord,
-    ErasedService, ErasedEndpoint, ErasedLayout, ErasedVm, ErasedQuarantine, OperatorDrainChange>;
+    ErasedService, ErasedEndpoint, ErasedLayout, ErasedVm, ErasedQuarantine, OperatorDrainChange,
+    RouteHeader, Route, RoutedService, ErasedRoute, ErasedRoutedService>;
 
 // Entry VM to control.
 struct Hello {
--- a/src/libflamingo/control/publishedstate.h
+++ b/src/libflamingo/control/publishedstate.h
@@ -6,6 +6,7 @@
 #include "control/servicedefinition.h"
 #include "control/snapshotlayout.h"
 #include "control/vmrecord.h"
+#include "routes/routeconfiguration.h"
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,9 @@
     std::map<LayoutKey, SnapshotLayout> m_layouts;
     std::map<VmId, VmRecord> m_vms;
     std::map<Fingerprint, QuarantineRecord> m_quarantine;
+    RouteHeader m_routeHeader;
+    std::map<RouteKey, Route> m_routes;
+    std::map<ServiceName, RoutedService> m_routedServices;
     // Sum of the hashes of all records modulo 2^64. applyChange() keeps it, so that the digest costs
     // the same for each change however many endpoints there are.
     std::uint64_t m_recordSum = 0;
--- a/src/libflamingo/control/recordfields.h
+++ b/src/libflamingo/control/recordfields.h
@@ -29,9 +29,59 @@
     template <typename S> static auto tie(S& s)
     {
         return std::tie(s.m_id, s.m_service, s.m_address, s.m_port, s.m_dataCentre, s.m_incarnation, s.m_holdings,
-            s.m_slots, s.m_connections, s.m_draining, s.m_registeredIn);
+            s.m_slots, s.m_connections, s.m_draining, s.m_routed, s.m_registeredIn);
     }
 };
+template <> struct Fields<RouteKey> {
+    static constexpr const char* name = "RouteKey";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_host, s.m_pathPrefix); }
+};
+template <> struct Fields<RouteTarget> {
+    static constexpr const char* name = "RouteTarget";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_service, s.m_weight); }
+};
+template <> struct Fields<Route> {
+    static constexpr const char* name = "Route";
+    template <typename S> static auto tie(S& s)
+    {
+        return std::tie(s.m_key, s.m_name, s.m_idempotence, s.m_timeout, s.m_goal, s.m_priority, s.m_maxAttempts,
+            s.m_targets, s.m_shards, s.m_topRecords, s.m_shardFloor);
+    }
+};
+template <> struct Fields<RoutedService> {
+    static constexpr const char* name = "RoutedService";
+    template <typename S> static auto tie(S& s)
+    {
+        return std::tie(s.m_name, s.m_healthPath, s.m_connectionsPerEndpoint);
+    }
+};
+template <> struct Fields<CallerLimits> {
+    static constexpr const char* name = "CallerLimits";
+    template <typename S> static auto tie(S& s)
+    {
+        return std::tie(s.m_headerBytes, s.m_bodyBytes, s.m_headerTimeout, s.m_idleTimeout);
+    }
+};
+template <> struct Fields<RouteHeader> {
+    static constexpr const char* name = "RouteHeader";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_version, s.m_limits); }
+};
+template <> struct Fields<RouteConfiguration> {
+    static constexpr const char* name = "RouteConfiguration";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_header, s.m_routes, s.m_services); }
+};
+template <> struct Fields<ReplaceRoutes> {
+    static constexpr const char* name = "ReplaceRoutes";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_configuration, s.m_document); }
+};
+template <> struct Fields<ErasedRoute> {
+    static constexpr const char* name = "ErasedRoute";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_route); }
+};
+template <> struct Fields<ErasedRoutedService> {
+    static constexpr const char* name = "ErasedRoutedService";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_service); }
+};
 template <> struct Fields<LayoutKey> {
     static constexpr const char* name = "LayoutKey";
     template <typename S> static auto tie(S& s) { return std::tie(s.m_service, s.m_version, s.m_layout); }
@@ -289,7 +339,8 @@
     template <typename S> static auto tie(S& s)
     {
         return std::tie(
-            s.m_published, s.m_logTime, s.m_claims, s.m_results, s.m_lastResultNumber, s.m_suspects, s.m_leftEndpoints);
+            s.m_published, s.m_logTime, s.m_claims, s.m_results, s.m_lastResultNumber, s.m_suspects, s.m_leftEndpoints,
+            s.m_routesDocument);
     }
 };
 
--- a/src/libflamingo/control/servicedefinition.h
+++ b/src/libflamingo/control/servicedefinition.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/idempotence.h"
 #include "base/ids.h"
 #include "base/time.h"
 
@@ -21,11 +22,6 @@
     Full, // waits for all shards until the deadline
 };
 
-enum class Idempotence {
-    Idempotent,
-    NonIdempotent,
-};
-
 /** Configuration of a service as operators write it. */
 struct ServiceDefinition {
     ServiceName m_name;
--- /dev/null
+++ b/src/libflamingo/daemon/controlapi.cpp
@@ -0,0 +1,158 @@
+#include "daemon/controlapi.h"
+
+#include "base/log.h"
+#include "consensus/consensusmember.h"
+#include "control/controlservice.h"
+#include "link/socketaddress.h"
+#include "routes/routevalidation.h"
+
+namespace flamingo {
+
+namespace {
+
+// A configuration with a thousand routes over a hundred shards each is about 1.5 MB.
+constexpr std::uint64_t maximumBodyBytes = 4ULL * 1024 * 1024;
+
+} // namespace
+
+ControlApi::ControlApi(boost::asio::io_context& io, const ControlProtocol& protocol, ControlService& service,
+    const ConsensusMember& member)
+    : m_protocol(protocol)
+    , m_service(service)
+    , m_member(member)
+    , m_server(io, [this](const ExchangePtr& exchange) { handle(exchange); })
+{
+    CallerLimits limits;
+    limits.m_bodyBytes = maximumBodyBytes;
+    m_server.setLimits(limits);
+}
+
+bool ControlApi::start(const SocketAddress& address, Reason& reason)
+{
+    m_address = address;
+    return m_server.start(address, reason);
+}
+
+void ControlApi::stopAccepting() { m_server.stopAccepting(); }
+
+void ControlApi::handle(const ExchangePtr& exchange)
+{
+    Reason reason;
+    auto call = m_protocol.m_read(exchange->request(), reason);
+    if (!call) {
+        FLAMINGO_LOG(Warning, "refused a call", { "target", exchange->request().m_target },
+            { "code", std::to_string(static_cast<int>(reason.m_code)) }, { "reason", reason.m_text });
+        answer(*exchange, reason.m_code, reason.m_text);
+        return;
+    }
+    if (!m_member.readyToServe()) {
+        answer(*exchange, leaderApi().empty() ? ResultCode::ControlUnavailable : ResultCode::NotLeader,
+            "this VM does not lead");
+        return;
+    }
+    std::visit([&](auto& fields) { handle(exchange, fields); }, *call);
+}
+
+void ControlApi::handle(const ExchangePtr& exchange, const EndpointHeartbeat& heartbeat)
+{
+    const EndpointId& endpoint = heartbeat.m_endpoint.m_id;
+    const HeartbeatDecision decision = decideHeartbeat(m_service.state(), heartbeat);
+    if (decision.m_renews)
+        m_service.noteRenewal(endpoint, monotonicNow());
+    carryOut(exchange, endpoint, decision);
+}
+
+void ControlApi::handle(const ExchangePtr& exchange, const EndpointDeparture& departure)
+{
+    carryOut(exchange, departure.m_endpoint, decideDeparture(m_service.state(), departure));
+}
+
+void ControlApi::carryOut(const ExchangePtr& exchange, const EndpointId& endpoint, const HeartbeatDecision& decision)
+{
+    if (*decision.m_why != '\0') {
+        FLAMINGO_LOG(Info, "heartbeat decided", { "endpoint", endpoint.value() }, { "why", decision.m_why },
+            { "commands", std::to_string(decision.m_commands.size()) },
+            { "revision", std::to_string(m_service.state().m_published.m_revision.value()) });
+    }
+    submitNext(exchange, std::make_shared<std::vector<CommandBody>>(decision.m_commands), 0);
+}
+
+void ControlApi::submitNext(
+    const ExchangePtr& exchange, std::shared_ptr<std::vector<CommandBody>> commands, std::size_t next)
+{
+    if (next == commands->size()) {
+        answer(*exchange, ResultCode::Ok);
+        return;
+    }
+    Command command;
+    command.m_body = std::move((*commands)[next]);
+    m_service.submit(std::move(command), [this, exchange, commands, next](const CommandResult& result) {
+        if (result.m_code == ResultCode::Ok)
+            submitNext(exchange, commands, next + 1);
+        else
+            answer(*exchange, result.m_code, result.m_text);
+    });
+}
+
+void ControlApi::handle(const ExchangePtr& exchange, RoutesUpload& upload)
+{
+    const ConfigurationVersion version = upload.m_configuration.m_header.m_version;
+    Reason reason;
+    if (!validateRoutes(upload.m_configuration, reason)) {
+        FLAMINGO_LOG(Warning, "refused routes", { "version", std::to_string(version.value()) },
+            { "code", std::to_string(static_cast<int>(reason.m_code)) }, { "reason", reason.m_text });
+        answer(*exchange, reason.m_code, reason.m_text);
+        return;
+    }
+    Command command;
+    command.m_body = ReplaceRoutes { std::move(upload.m_configuration), std::move(upload.m_document) };
+    m_service.submit(std::move(command), [this, exchange, version](const CommandResult& result) {
+        FLAMINGO_LOG(Info, "routes decided", { "version", std::to_string(version.value()) },
+            { "code", std::to_string(static_cast<int>(result.m_code)) },
+            { "revision", std::to_string(result.m_revision.value()) }, { "result", result.m_text });
+        answer(*exchange, result.m_code, result.m_text);
+    });
+}
+
+void ControlApi::handle(const ExchangePtr& exchange, const RoutesRead&)
+{
+    m_service.confirmRead(
+        [this, exchange](bool confirmed) {
+            const ControlState& state = m_service.state();
+            const ConfigurationVersion version = state.m_published.m_routeHeader.m_version;
+            FLAMINGO_LOG(Info, "routes read", { "version", std::to_string(version.value()) },
+                { "confirmed", confirmed ? "yes" : "no" });
+            if (!confirmed) {
+                answer(*exchange, ResultCode::ControlUnavailable, "no majority confirms that this VM leads");
+                return;
+            }
+            if (version.value() == 0) {
+                answer(*exchange, ResultCode::NoConfiguration, "there are no routes yet");
+                return;
+            }
+            ControlAnswer result;
+            result.m_document = state.m_routesDocument;
+            exchange->respond(m_protocol.m_write(exchange->request(), result));
+        },
+        monotonicNow());
+}
+
+void ControlApi::answer(HttpExchange& exchange, ResultCode code, std::string text)
+{
+    ControlAnswer result;
+    result.m_code = code;
+    result.m_text = std::move(text);
+    result.m_leaderApi = leaderApi();
+    exchange.respond(m_protocol.m_write(exchange.request(), result));
+}
+
+std::string ControlApi::leaderApi() const
+{
+    // All control VMs of a site serve this interface on the same port.
+    const auto address = parseSocketAddress(m_member.leaderAddress());
+    if (!address)
+        return {};
+    return SocketAddress { address->address().to_string(), m_address.m_port }.text();
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/controlapi.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "control/controlprotocol.h"
+#include "control/heartbeatdecision.h"
+#include "http/httpserver.h"
+
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace flamingo {
+
+class ConsensusMember;
+class ControlService;
+
+/**
+ * HTTP interface of a control VM for operators and endpoints of routes.
+ *
+ * The leader answers; the others name it. A change is acknowledged once a majority holds it, and a read is answered
+ * once a majority has confirmed, after it arrived, that this VM leads.
+ *
+ * Thread safety: none; all calls on the control loop. The references outlive the object.
+ */
+class ControlApi {
+public:
+    ControlApi(boost::asio::io_context& io, const ControlProtocol& protocol, ControlService& service,
+        const ConsensusMember& member);
+
+    /** Opens the port. Returns false and fills the reason if that fails. */
+    bool start(const SocketAddress& address, Reason& reason);
+
+    /** Refuses new calls with the names of other VMs from now on and closes the port. */
+    void stopAccepting();
+
+    /** Returns the totals of the HTTP server. */
+    const HttpServerCounters& counters() const { return m_server.counters(); }
+
+private:
+    using ExchangePtr = std::shared_ptr<HttpExchange>;
+
+    void handle(const ExchangePtr& exchange);
+    void handle(const ExchangePtr& exchange, const EndpointHeartbeat& heartbeat);
+    void handle(const ExchangePtr& exchange, const EndpointDeparture& departure);
+    void handle(const ExchangePtr& exchange, RoutesUpload& upload);
+    void handle(const ExchangePtr& exchange, const RoutesRead& read);
+    void carryOut(const ExchangePtr& exchange, const EndpointId& endpoint, const HeartbeatDecision& decision);
+    void submitNext(const ExchangePtr& exchange, std::shared_ptr<std::vector<CommandBody>> commands, std::size_t next);
+    void answer(HttpExchange& exchange, ResultCode code, std::string text = {});
+    std::string leaderApi() const;
+
+    const ControlProtocol& m_protocol;
+    ControlService& m_service;
+    const ConsensusMember& m_member;
+    SocketAddress m_address;
+    HttpServer m_server;
+};
+
+} // namespace flamingo
--- a/src/libflamingo/daemon/controlloop.cpp
+++ b/src/libflamingo/daemon/controlloop.cpp
@@ -34,6 +34,31 @@
     makePort();
 }
 
+bool ControlLoop::addMetrics(const SocketAddress& address, std::function<std::string()> text, Reason& reason)
+{
+    m_metrics = std::make_unique<HttpServer>(
+        m_io, [text = std::move(text)](const std::shared_ptr<HttpExchange>& exchange) {
+            exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text() });
+        });
+    return m_metrics->start(address, reason);
+}
+
+void ControlLoop::setControlAddresses(std::vector<std::string> addresses)
+{
+    boost::asio::post(m_io, [this, addresses = std::move(addresses)]() mutable {
+        if (m_link)
+            m_link->client().setControlAddresses(std::move(addresses));
+    });
+}
+
+void ControlLoop::stopApi()
+{
+    boost::asio::post(m_io, [this] {
+        if (m_role)
+            m_role->stopApi();
+    });
+}
+
 void ControlLoop::makePort()
 {
     m_port.m_lease = m_link->client().leaseView();
@@ -105,6 +130,7 @@
         });
         m_thread.join();
     }
+    m_metrics.reset();
     m_link.reset();
     m_role.reset();
 }
--- a/src/libflamingo/daemon/controlloop.h
+++ b/src/libflamingo/daemon/controlloop.h
@@ -3,6 +3,7 @@
 #include "daemon/controllink.h"
 #include "daemon/controlport.h"
 #include "daemon/controlrole.h"
+#include "http/httpserver.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,15 @@
     void addEntryLink(ControlClientSettings settings,
         std::function<void(std::shared_ptr<const PublishedState>, const std::vector<Change>*)> onState);
 
+    /** Serves the text as metrics over HTTP; it is made on the control loop. Precondition: before run(). */
+    bool addMetrics(const SocketAddress& address, std::function<std::string()> text, Reason& reason);
+
+    /** Replaces the addresses at which the entry link looks for control VMs. */
+    void setControlAddresses(std::vector<std::string> addresses);
+
+    /** Has the control role stop taking calls over HTTP. */
+    void stopApi();
+
     /** Starts the thread. */
     void run();
 
@@ -62,6 +72,7 @@
     boost::asio::steady_timer m_ticker;
     std::unique_ptr<ControlRole> m_role;
     std::unique_ptr<ControlLink> m_link;
+    std::unique_ptr<HttpServer> m_metrics;
     ControlPort m_port;
     std::thread m_thread;
 };
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -4,12 +4,15 @@
 #include "consensus/consensusmember.h"
 #include "control/controlservice.h"
 #include "daemon/administration.h"
+#include "daemon/controlapi.h"
 #include "link/linkpath.h"
 #include "link/linkserver.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <filesystem>
+
 namespace flamingo {
 
 ControlRole::ControlRole(
@@ -25,9 +28,7 @@
 
 bool ControlRole::start(MonotonicTime now, Reason& reason)
 {
-    makeService();
-    m_member = ConsensusMember::open(m_settings.m_member, memberCallbacks(), now, reason);
-    if (!m_member)
+    if (!openMember(now, reason))
         return false;
 
     LinkServerCallbacks callbacks;
@@ -39,6 +40,42 @@
     return m_server->start(reason);
 }
 
+bool ControlRole::openMember(MonotonicTime now, Reason& reason)
+{
+    makeService();
+    m_member = ConsensusMember::open(m_settings.m_member, memberCallbacks(), now, reason);
+    if (!m_member)
+        return false;
+    if (m_settings.m_api.m_port == 0 || m_settings.m_protocol == nullptr)
+        return true;
+    m_api = std::make_unique<ControlApi>(m_io, *m_settings.m_protocol, *m_service, *m_member);
+    return m_api->start(m_settings.m_api, reason);
+}
+
+void ControlRole::stopApi()
+{
+    if (m_api)
+        m_api->stopAccepting();
+}
+
+// A VM that was cut off for long may find that a replacement has taken over its vote. Its log counts no more, so that
+// it starts with an empty data folder under a new member id.
+void ControlRole::rejoinIfRemoved(MonotonicTime now)
+{
+    if (!m_settings.m_member.m_openMembership || !m_member->removed())
+        return;
+    FLAMINGO_LOG(Warning, "removed from the log; rejoining with an empty data folder",
+        { "member", m_member->id().value() });
+    m_api.reset();
+    m_member.reset();
+    std::error_code error;
+    std::filesystem::remove_all(m_settings.m_member.m_folder, error);
+    Reason reason { ResultCode::StorageFailed, "cannot empty the data folder: " + error.message() };
+    ++m_settings.m_member.m_seed; // another member id
+    if (error || !openMember(now, reason))
+        fail(reason);
+}
+
 void ControlRole::makeService()
 {
     ControlServicePorts ports;
@@ -57,7 +94,8 @@
     ports.m_wallClock = wallClock;
     ports.m_administer = [this](const AdminRequest& request) { return administer(request); };
     // The seed is unpredictable and differs for each process, as the proposer number has to.
-    m_service = std::make_unique<ControlService>(std::move(ports), m_settings.m_member.m_seed);
+    m_service = std::make_unique<ControlService>(
+        std::move(ports), m_settings.m_member.m_seed, m_settings.m_service);
 }
 
 MemberCallbacks ControlRole::memberCallbacks()
@@ -95,20 +133,24 @@
 {
     // Runs after the messages at hand, so that their proposals share one sync of the disk.
     boost::asio::post(m_io, [this] {
-        if (!m_stopped)
+        if (!m_stopped && m_member)
             m_member->flush(monotonicNow());
     });
 }
 
 void ControlRole::tick(MonotonicTime now)
 {
+    if (!m_member)
+        return;
     m_member->tick(now);
     m_service->tick(now);
+    rejoinIfRemoved(now);
 }
 
 void ControlRole::stop()
 {
     m_stopped = true;
+    m_api.reset();
     if (m_server)
         m_server->stop();
     m_peers.stop();
@@ -125,6 +167,8 @@
 void ControlRole::linkMessage(LinkId link, const std::string& message)
 {
     const MonotonicTime now = monotonicNow();
+    if (!m_member)
+        return;
     if (!m_links[link]) {
         if (!m_member->receive(message, now)) {
             FLAMINGO_LOG(
--- a/src/libflamingo/daemon/controlrole.h
+++ b/src/libflamingo/daemon/controlrole.h
@@ -3,8 +3,10 @@
 #include "base/reason.h"
 #include "base/time.h"
 #include "consensus/membersettings.h"
+#include "control/controlservicesettings.h"
 #include "daemon/peerlinks.h"
 #include "link/linkid.h"
+#include "settings/socketaddress.h"
 
 #include <cstdint>
 #include <functional>
@@ -20,10 +22,12 @@
 namespace flamingo {
 
 class ConsensusMember;
+class ControlApi;
 class ControlService;
 class LinkServer;
 struct AdminReply;
 struct AdminRequest;
+struct ControlProtocol;
 struct MemberCallbacks;
 
 /** Where a control VM listens, and its part in the replicated log. */
@@ -31,6 +35,9 @@
     std::string m_listenAddress; // IP address
     std::uint16_t m_listenPort = 0;
     MemberSettings m_member;
+    ControlServiceSettings m_service;
+    SocketAddress m_api; // HTTP interface for operators and endpoints of routes; none without a port
+    const ControlProtocol* m_protocol = nullptr; // of that interface
 };
 
 /**
@@ -51,6 +58,8 @@
     bool start(MonotonicTime now, Reason& reason);
     /** Advances timers; to be called every 20 to 50 ms after start(). */
     void tick(MonotonicTime now);
+    /** Closes the HTTP interface; calls that are under way are still answered. */
+    void stopApi();
     /** Closes the port and the links. Nothing is called back afterwards. */
     void stop();
 
@@ -67,6 +76,8 @@
     void linkMessage(LinkId link, const std::string& message);
     void linkClosed(LinkId link);
     void fail(const Reason& reason);
+    bool openMember(MonotonicTime now, Reason& reason);
+    void rejoinIfRemoved(MonotonicTime now);
     AdminReply administer(const AdminRequest& request);
 
     boost::asio::io_context& m_io;
@@ -76,6 +87,7 @@
     std::unique_ptr<ControlService> m_service;
     std::unique_ptr<ConsensusMember> m_member;
     std::unique_ptr<LinkServer> m_server;
+    std::unique_ptr<ControlApi> m_api;
     std::map<LinkId, bool> m_links; // whether the link is one of an entry VM
     bool m_stopped = false;
 };
--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Milliseconds leaveTimeout { 2000 };
+// An endpoint that misses this many heartbeats in a row is taken for lost.
+constexpr int heartbeatsMissed = 4;
 
 std::uint64_t randomNumber()
 {
@@ -19,11 +21,16 @@
     return (std::uint64_t(device()) << 32U) | device();
 }
 
-std::vector<InitialMember> initialMembers(const ControlSettings& control)
+// Seeds are known by their address alone, which then is the name of the VM in the log.
+std::vector<InitialMember> initialMembers(const Settings& settings)
 {
     std::vector<InitialMember> members;
-    for (const ControlMember& member : control.m_members)
+    for (const ControlMember& member : settings.m_control.m_members)
         members.push_back(InitialMember { member.m_vm, member.m_address.text() });
+    if (!members.empty())
+        return members;
+    for (const SocketAddress& seed : settings.m_seeds.m_addresses)
+        members.push_back({ VmId(seed.m_ip), SocketAddress { seed.m_ip, settings.m_seeds.m_linkPort }.text() });
     return members;
 }
 
@@ -38,8 +45,9 @@
 
 } // namespace
 
-Daemon::Daemon(Settings settings, std::function<void(const Reason&)> failed)
+Daemon::Daemon(Settings settings, DaemonProtocols protocols, std::function<void(const Reason&)> failed)
     : m_settings(std::move(settings))
+    , m_protocols(protocols)
     , m_failed(std::move(failed))
     , m_incarnation(randomNumber())
 {
@@ -49,6 +57,8 @@
 {
     if (m_api)
         m_api->stop();
+    if (m_routes)
+        m_routes->stop();
     m_control.stop();
     if (m_entry)
         m_entry->stop();
@@ -58,6 +68,10 @@
 {
     if (m_settings.m_controlRole && !startControl(reason))
         return false;
+    if (!startMetrics(reason))
+        return false;
+    if (m_settings.m_routesRole)
+        return startRoutes(reason);
     if (m_settings.m_entryRole)
         return startEntry(reason);
     m_control.run();
@@ -70,25 +84,78 @@
     role.m_listenAddress = m_settings.m_control.m_listen.m_ip;
     role.m_listenPort = m_settings.m_control.m_listen.m_port;
     role.m_member.m_folder = m_settings.m_control.m_dataFolder;
-    role.m_member.m_vm = m_settings.m_vm;
+    const bool hasSeeds = m_settings.m_control.m_members.empty();
+    role.m_member.m_vm = hasSeeds ? VmId(m_settings.m_control.m_listen.m_ip) : m_settings.m_vm;
+    role.m_member.m_openMembership = hasSeeds;
     role.m_member.m_address = ownControlAddress(m_settings);
-    role.m_member.m_initialMembers = initialMembers(m_settings.m_control);
+    role.m_member.m_initialMembers = initialMembers(m_settings);
     role.m_member.m_bootstrapAllowed = m_settings.m_control.m_bootstrap;
     role.m_member.m_seed = randomNumber();
+    role.m_service.m_endpointTtl = m_settings.m_control.m_endpointHeartbeat * heartbeatsMissed;
+    role.m_service.m_removalBatchDelay
+        = std::min(role.m_service.m_removalBatchDelay, m_settings.m_control.m_endpointHeartbeat);
+    role.m_api = m_settings.m_control.m_api;
+    role.m_protocol = m_protocols.m_control;
     return m_control.addControlRole(std::move(role), m_failed, reason);
 }
 
-bool Daemon::startEntry(Reason& reason)
+ControlClientSettings Daemon::clientSettings(const std::string& callerAddress) const
 {
     ControlClientSettings client;
     client.m_vm = m_settings.m_vm;
     client.m_incarnation = Incarnation(m_incarnation);
     client.m_dataCentre = m_settings.m_dataCentre;
-    client.m_address = SocketAddress { m_settings.m_entry.m_listen, m_settings.m_entry.m_port }.text();
+    client.m_address = callerAddress;
     for (const SocketAddress& address : m_settings.m_controlAddresses)
         client.m_controlAddresses.push_back(address.text());
-    m_control.addEntryLink(
-        std::move(client), [this](std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes) {
+    return client;
+}
+
+bool Daemon::startRoutes(Reason& reason)
+{
+    if (m_protocols.m_callers == nullptr) {
+        reason = Reason { ResultCode::InvalidSettings, "this program has no protocol for the role routes" };
+        return false;
+    }
+    m_control.addEntryLink(clientSettings(m_settings.m_routes.m_listen.text()),
+        [this](std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes) {
+            m_routes->takeState(std::move(state), changes);
+        });
+    m_routes = std::make_unique<ForwardLoop>(
+        m_settings, *m_protocols.m_callers, m_control.port().m_lease, m_metrics.registry());
+    if (!m_routes->start(reason))
+        return false;
+    m_control.run();
+    return true;
+}
+
+bool Daemon::startMetrics(Reason& reason)
+{
+    if (m_settings.m_metrics.m_port == 0)
+        return true;
+    const auto text = [this] {
+        std::string result;
+        if (m_routes)
+            m_routes->runOnLoop([&] { result = m_metrics.text(); });
+        else
+            result = m_metrics.text();
+        return result;
+    };
+    return m_control.addMetrics(m_settings.m_metrics, text, reason);
+}
+
+void Daemon::reload(const Settings& settings)
+{
+    std::vector<std::string> addresses;
+    for (const SocketAddress& address : settings.m_controlAddresses)
+        addresses.push_back(address.text());
+    m_control.setControlAddresses(std::move(addresses));
+}
+
+bool Daemon::startEntry(Reason& reason)
+{
+    m_control.addEntryLink(clientSettings(SocketAddress { m_settings.m_entry.m_listen, m_settings.m_entry.m_port }.text()),
+        [this](std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes) {
             m_entry->takeState(std::move(state), changes);
         });
 
@@ -175,7 +242,15 @@
         // The lease is kept until here: requests in flight send to endpoints under it.
         m_control.leave(leaveTimeout);
     }
+    if (m_routes) {
+        m_routes->shutDown(m_settings.m_shutdownGrace);
+        m_control.leave(leaveTimeout);
+    }
+    if (m_settings.m_controlRole && m_protocols.m_control)
+        m_control.stopApi();
     m_control.stop();
+    if (m_routes)
+        m_routes->stop();
     if (m_entry)
         m_entry->stop();
     FLAMINGO_LOG(Info, "graceful shutdown finished");
--- a/src/libflamingo/daemon/entrymetrics.h
+++ b/src/libflamingo/daemon/entrymetrics.h
@@ -40,6 +40,9 @@
     /** Copies the state of the control role. */
     void recordControl(const ConsensusMember& member, const ControlService& service);
 
+    /** Returns the registry, for metrics of other roles. */
+    MetricsRegistry& registry() { return m_registry; }
+
     /** Returns all metrics in the Prometheus text format. */
     std::string text() const { return m_registry.exposition(); }
 
--- /dev/null
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -0,0 +1,243 @@
+#include "daemon/forwardloop.h"
+
+#include "base/log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <future>
+#include <random>
+
+namespace flamingo {
+
+namespace {
+
+constexpr Milliseconds tickInterval { 100 };
+constexpr Milliseconds drainPoll { 20 };
+// The process ends this long before the grace does, so that it is not killed while it closes.
+constexpr Milliseconds graceMargin { 500 };
+// An endpoint within reach of the system answers a handshake well within this time.
+constexpr Milliseconds connectTimeout { 500 };
+// Connections kept open to each endpoint ahead of need.
+constexpr std::uint32_t warmConnections = 1;
+// Part of the allowed extra load that the VMs plan with, since they do not see each other's calls.
+constexpr double extraLoadUsed = 0.75;
+
+ForwardState makeState(const Settings& settings)
+{
+    ForwardState state;
+    RoutingSettings routing;
+    routing.m_vm = settings.m_vm;
+    routing.m_dataCentre = settings.m_dataCentre;
+    state.m_routing = makeRoutingState(routing);
+    state.m_settings.m_extraLoadShare = settings.m_routes.m_extraLoadShare * extraLoadUsed;
+    state.m_settings.m_extraLoadCalls = settings.m_routes.m_extraLoadCalls * extraLoadUsed;
+    state.m_random.seed(std::random_device {}());
+    return state;
+}
+
+} // namespace
+
+ForwardLoop::ForwardLoop(const Settings& settings, const CallerProtocol& protocol,
+    std::shared_ptr<const LeaseView> lease, MetricsRegistry& metrics)
+    : m_settings(settings)
+    , m_protocol(protocol)
+    , m_lease(std::move(lease))
+    , m_work(boost::asio::make_work_guard(m_io))
+    , m_ticker(m_io)
+    , m_state(makeState(settings))
+    , m_client(m_io, *protocol.m_endpoints)
+    , m_runner(m_io, m_client, m_state, metrics)
+    , m_callers(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); })
+    , m_probes(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleProbe(*exchange); })
+{
+    observeMetrics(metrics);
+}
+
+ForwardLoop::~ForwardLoop() { stop(); }
+
+bool ForwardLoop::start(Reason& reason)
+{
+    if (!m_callers.start(m_settings.m_routes.m_listen, reason) || !m_probes.start(m_settings.m_routes.m_health, reason))
+        return false;
+    scheduleTick();
+    m_thread = std::thread([this] { m_io.run(); });
+    return true;
+}
+
+void ForwardLoop::runOnLoop(const std::function<void()>& work)
+{
+    // Shared, since the loop may still be inside set_value() when this thread goes on.
+    const auto done = std::make_shared<std::promise<void>>();
+    boost::asio::post(m_io, [&work, done] {
+        work();
+        done->set_value();
+    });
+    done->get_future().get();
+}
+
+void ForwardLoop::shutDown(Milliseconds grace)
+{
+    if (!m_thread.joinable())
+        return;
+    const MonotonicTime end = monotonicNow() + grace - std::min(graceMargin, grace);
+    runOnLoop([this] {
+        m_stopping = true;
+        m_callers.announceClose();
+    });
+    std::this_thread::sleep_for(std::min(m_settings.m_routes.m_drainWait, grace));
+    runOnLoop([this] { m_callers.stopAccepting(); });
+    std::size_t inFlight = 1;
+    while (inFlight > 0 && monotonicNow() < end) {
+        std::this_thread::sleep_for(drainPoll);
+        runOnLoop([this, &inFlight] { inFlight = m_callers.counters().m_requestsInFlight; });
+    }
+    if (inFlight > 0)
+        FLAMINGO_LOG(Warning, "the grace period ended with requests in flight", { "requests", std::to_string(inFlight) });
+}
+
+void ForwardLoop::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    boost::asio::post(m_io, [this] { m_io.stop(); });
+    m_thread.join();
+}
+
+void ForwardLoop::takeState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes)
+{
+    if (!m_thread.joinable())
+        return;
+    runOnLoop([&] { applyState(std::move(state), changes); });
+}
+
+void ForwardLoop::applyState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes)
+{
+    const MonotonicTime now = monotonicNow();
+    const ConfigurationVersion before = m_state.m_header.m_version;
+    FLAMINGO_LOG(Info, "state applied", { "revision", std::to_string(state->m_revision.value()) },
+        { "route_version", std::to_string(state->m_routeHeader.m_version.value()) },
+        { "endpoints", std::to_string(state->m_endpoints.size()) },
+        { "changes", changes ? std::to_string(changes->size()) : "full copy" });
+    applyForwardState(m_state, std::move(state), now, changes);
+    m_confirmedAt = now;
+    if (m_state.m_header.m_version != before) {
+        m_callers.setLimits(m_state.m_header.m_limits);
+        m_fresh = true;
+    }
+    updateConnections();
+}
+
+void ForwardLoop::updateConnections()
+{
+    RoutingTable& table = m_state.m_routing.m_table;
+    std::vector<EndpointId> gone;
+    for (const EndpointId& endpoint : m_connected) {
+        if (table.m_positions.count(endpoint) == 0)
+            gone.push_back(endpoint);
+    }
+    for (const EndpointId& endpoint : gone) {
+        m_client.forget(endpoint);
+        m_connected.erase(endpoint);
+    }
+    for (const auto& [id, index] : table.m_positions) {
+        const EndpointRoute& route = table.m_endpoints.at(index.value());
+        EndpointLimits limits;
+        limits.m_connections = endpointShare(table, index);
+        limits.m_connectTimeout = connectTimeout;
+        m_client.setLimits(id, limits);
+        m_connected.insert(id);
+        const bool used = !route.m_draining && table.m_routedConnections.count(route.m_service) > 0;
+        m_client.warm(id, route.m_address, route.m_port, used ? std::min(limits.m_connections, warmConnections) : 0);
+    }
+}
+
+std::optional<Reason> ForwardLoop::refusal() const
+{
+    if (m_state.m_header.m_version.value() == 0)
+        return Reason { ResultCode::NoConfiguration, "this VM has no route configuration yet" };
+    if (!m_fresh)
+        return Reason { ResultCode::NoLease, "no control leader has confirmed this VM's configuration for too long" };
+    return std::nullopt;
+}
+
+void ForwardLoop::handleRequest(const std::shared_ptr<HttpExchange>& exchange)
+{
+    ForwardRequest request;
+    Reason reason;
+    HttpRequest& http = exchange->request();
+    if (!m_protocol.m_readRequest(http, request, reason))
+        return refuse(*exchange, request.m_id, reason.m_code, reason.m_text.c_str());
+    if (const auto refused = refusal())
+        return refuse(*exchange, request.m_id, refused->m_code, refused->m_text.c_str());
+    request.m_route = findRoute(m_state.m_routes, request.m_host, request.m_target);
+    if (!request.m_route)
+        return refuse(*exchange, request.m_id, ResultCode::UnknownRoute, "no route for this host and path");
+    request.m_version = m_state.m_header.m_version;
+    const ExecutionId id = m_runner.start(std::move(request),
+        [this, exchange](ForwardAnswer answer) { exchange->respond(m_protocol.m_writeAnswer(std::move(answer))); });
+    exchange->onAbandoned([this, id] { m_runner.abandon(id); });
+}
+
+void ForwardLoop::refuse(HttpExchange& exchange, const RequestId& id, ResultCode code, const char* text)
+{
+    FLAMINGO_LOG(Info, "request refused", { "request_id", id.value() },
+        { "code", std::to_string(static_cast<int>(code)) }, { "target", exchange.request().m_target },
+        { "route_version", std::to_string(m_state.m_header.m_version.value()) }, { "reason", text });
+    ForwardAnswer answer;
+    answer.m_id = id;
+    answer.m_code = code;
+    answer.m_text = text;
+    answer.m_retryAfter = m_state.m_settings.m_shortestRetryAfter;
+    exchange.respond(m_protocol.m_writeAnswer(std::move(answer)));
+}
+
+void ForwardLoop::handleProbe(HttpExchange& exchange)
+{
+    exchange.respond(m_protocol.m_writeHealth(exchange.request(), !m_stopping && !refusal()));
+}
+
+void ForwardLoop::scheduleTick()
+{
+    m_ticker.expires_after(tickInterval);
+    m_ticker.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void ForwardLoop::tick()
+{
+    const MonotonicTime now = monotonicNow();
+    if (m_lease->valid(now))
+        m_confirmedAt = now;
+    const bool fresh = m_state.m_header.m_version.value() != 0 && now - m_confirmedAt < m_settings.m_routes.m_staleLimit;
+    if (fresh == m_fresh)
+        return;
+    m_fresh = fresh;
+    FLAMINGO_LOG(Info, fresh ? "control leader regained" : "control leader lost for too long",
+        { "route_version", std::to_string(m_state.m_header.m_version.value()) });
+}
+
+void ForwardLoop::observeMetrics(MetricsRegistry& metrics)
+{
+    const auto observe = [&](const char* name, const char* help, std::function<double()> read) {
+        metrics.observedCounter(name, help, std::move(read));
+    };
+    observe("flamingo_forward_requests_total", "Requests of callers that a route was found for.",
+        [this] { return double(m_runner.counters().m_requests); });
+    observe("flamingo_forward_calls_total", "Calls to endpoints, hedges and retries included.",
+        [this] { return double(m_runner.counters().m_calls); });
+    observe("flamingo_forward_hedges_total", "Calls sent while another call for the same shard was open.",
+        [this] { return double(m_runner.counters().m_hedges); });
+    observe("flamingo_forward_abandoned_total", "Requests whose callers left before the answer.",
+        [this] { return double(m_runner.counters().m_abandoned); });
+    observe("flamingo_endpoint_connections_opened_total", "Connections opened to endpoints.",
+        [this] { return double(m_client.counters().m_connectionsOpened); });
+    observe("flamingo_endpoint_connections_lost_total", "Connections to endpoints that the endpoint closed or reset.",
+        [this] { return double(m_client.counters().m_connectionsLost); });
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -0,0 +1,206 @@
+#include "daemon/forwardrunner.h"
+
+#include "base/log.h"
+#include "base/monotonictimer.h"
+#include "endpoint/endpointclient.h"
+#include "metrics/callermetrics.h"
+
+#include <boost/asio/post.hpp>
+
+namespace flamingo {
+
+namespace {
+
+const char* outcomeName(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Answered:
+        return "answered";
+    case CallOutcome::NotSent:
+        return "not sent";
+    case CallOutcome::ConnectionLost:
+        return "connection lost";
+    case CallOutcome::TimedOut:
+        return "timed out";
+    case CallOutcome::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+std::string milliseconds(MonotonicClock::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(time).count());
+}
+
+} // namespace
+
+struct ForwardRunner::Running {
+    explicit Running(boost::asio::io_context& io)
+        : m_timer(io)
+    {
+    }
+
+    ForwardExecution m_execution;
+    AnswerHandler m_handler;
+    MonotonicTimer m_timer;
+    MonotonicTime m_timerAt = MonotonicTime::max();
+    std::map<AttemptNumber, CallHandle> m_calls; // open ones
+    std::uint32_t m_hedges = 0;
+    bool m_abandoned = false;
+};
+
+ForwardRunner::ForwardRunner(
+    boost::asio::io_context& io, EndpointClient& client, ForwardState& state, MetricsRegistry& metrics)
+    : m_io(io)
+    , m_client(client)
+    , m_state(state)
+    , m_metrics(metrics)
+{
+}
+
+ForwardRunner::~ForwardRunner() = default;
+
+ExecutionId ForwardRunner::start(ForwardRequest request, AnswerHandler handler)
+{
+    ++m_counters.m_requests;
+    const auto running = std::make_shared<Running>(m_io);
+    const ExecutionId id(++m_lastExecution);
+    running->m_execution.m_id = id;
+    running->m_execution.m_request = std::move(request);
+    running->m_handler = std::move(handler);
+    m_running[id] = running;
+    carryOut(running, startForward(m_state, running->m_execution, monotonicNow()));
+    return id;
+}
+
+void ForwardRunner::abandon(ExecutionId execution)
+{
+    const auto found = m_running.find(execution);
+    if (found == m_running.end())
+        return;
+    const RunningPtr running = found->second;
+    m_running.erase(found);
+    ++m_counters.m_abandoned;
+    running->m_abandoned = true;
+    running->m_timer.cancel();
+    abandonForward(m_state, running->m_execution);
+    FLAMINGO_LOG(Info, "caller left", { "request_id", running->m_execution.m_request.m_id.value() },
+        { "open_calls", std::to_string(running->m_calls.size()) });
+    const auto calls = running->m_calls;
+    for (const auto& [attempt, handle] : calls)
+        m_client.cancel(handle);
+}
+
+void ForwardRunner::carryOut(const RunningPtr& running, ForwardEffects effects)
+{
+    for (ForwardEffects::Send& call : effects.m_sends)
+        send(running, std::move(call));
+    if (effects.m_answer)
+        finish(running, std::move(*effects.m_answer));
+    else if (effects.m_wakeAt)
+        setTimer(running, *effects.m_wakeAt);
+    for (const ExecutionId execution : effects.m_wake) {
+        // Later, since the woken execution may wake others in turn.
+        boost::asio::post(m_io, [this, execution] { wake(execution); });
+    }
+}
+
+void ForwardRunner::send(const RunningPtr& running, ForwardEffects::Send effect)
+{
+    ++m_counters.m_calls;
+    const AttemptNumber attempt = effect.m_attempt;
+    if (effect.m_hedge || effect.m_call.m_provenConnection) {
+        m_counters.m_hedges += effect.m_hedge ? 1 : 0;
+        running->m_hedges += effect.m_hedge ? 1 : 0;
+        FLAMINGO_LOG(Info, effect.m_hedge ? "hedge sent" : "retry sent",
+            { "request_id", effect.m_call.m_request.value() }, { "attempt", std::to_string(attempt.value()) },
+            { "endpoint", effect.m_call.m_endpoint.value() },
+            { "age_ms", milliseconds(monotonicNow() - running->m_execution.m_request.m_receivedAt) });
+    }
+    const auto handler
+        = [this, running, attempt](EndpointReply reply) { takeReply(running, attempt, std::move(reply)); };
+    running->m_calls[attempt] = m_client.start(std::move(effect.m_call), handler);
+}
+
+void ForwardRunner::takeReply(const RunningPtr& running, AttemptNumber attempt, EndpointReply reply)
+{
+    running->m_calls.erase(attempt);
+    constexpr unsigned firstErrorStatus = 400;
+    if (reply.m_outcome != CallOutcome::Answered || reply.m_status >= firstErrorStatus)
+        logFailedCall(*running, attempt, reply);
+    carryOut(running,
+        takeForwardReply(m_state, running->m_execution, attempt, std::move(reply), monotonicNow()));
+}
+
+void ForwardRunner::logFailedCall(const Running& running, AttemptNumber attempt, const EndpointReply& reply) const
+{
+    if (running.m_abandoned)
+        return;
+    const Attempt& call = running.m_execution.m_calls.at(attempt.value()).m_attempt;
+    FLAMINGO_LOG(Info, "call failed", { "request_id", running.m_execution.m_request.m_id.value() },
+        { "attempt", std::to_string(attempt.value()) }, { "endpoint", call.m_endpointId.value() },
+        { "outcome", outcomeName(reply.m_outcome) }, { "status", std::to_string(reply.m_status) },
+        { "not_run", provesNotRun(reply) || reply.m_wrongEndpoint ? "yes" : "no" },
+        { "elapsed_ms", milliseconds(monotonicNow() - call.m_sentAt) }, { "reason", reply.m_text });
+}
+
+void ForwardRunner::setTimer(const RunningPtr& running, MonotonicTime at)
+{
+    if (at == running->m_timerAt)
+        return;
+    running->m_timerAt = at;
+    running->m_timer.expires_at(at);
+    running->m_timer.async_wait([this, running, at](const boost::system::error_code& error) {
+        if (error || running->m_timerAt != at || running->m_execution.m_finished)
+            return;
+        running->m_timerAt = MonotonicTime::max();
+        carryOut(running, forwardTimer(m_state, running->m_execution, monotonicNow()));
+    });
+}
+
+void ForwardRunner::wake(ExecutionId execution)
+{
+    const auto found = m_running.find(execution);
+    if (found == m_running.end())
+        return;
+    const RunningPtr running = found->second;
+    carryOut(running, forwardTimer(m_state, running->m_execution, monotonicNow()));
+}
+
+void ForwardRunner::finish(const RunningPtr& running, ForwardAnswer answer)
+{
+    running->m_timer.cancel();
+    m_running.erase(running->m_execution.m_id);
+    const ForwardRequest& request = running->m_execution.m_request;
+    const auto elapsed = monotonicNow() - request.m_receivedAt;
+    m_counters.m_failedCalls += answer.m_code == ResultCode::Ok ? 0 : 1;
+    FLAMINGO_LOG(Info, "request answered", { "request_id", request.m_id.value() },
+        { "route", request.m_route->m_name }, { "version", std::to_string(request.m_version.value()) },
+        { "code", std::to_string(static_cast<int>(answer.m_code)) }, { "status", std::to_string(answer.m_status) },
+        { "shards", std::to_string(answer.m_shards) }, { "missing", std::to_string(answer.m_missingShards) },
+        { "calls", std::to_string(answer.m_calls) }, { "hedges", std::to_string(running->m_hedges) },
+        { "elapsed_ms", milliseconds(elapsed) }, { "reason", answer.m_text });
+    record(running->m_execution, answer, std::chrono::duration_cast<Microseconds>(elapsed));
+    const AnswerHandler handler = std::move(running->m_handler);
+    running->m_handler = nullptr;
+    handler(std::move(answer));
+}
+
+void ForwardRunner::record(const ForwardExecution& execution, const ForwardAnswer& answer, Microseconds elapsed)
+{
+    const Route& route = *execution.m_request.m_route;
+    CallerMetrics& metrics = m_metrics.find(
+        ServiceName(route.m_name), CallerClass("priority-" + std::to_string(route.m_priority)));
+    QueryMeasurement measurement;
+    measurement.m_code = answer.m_code;
+    measurement.m_seconds = std::chrono::duration<double>(elapsed).count();
+    measurement.m_coverage = answer.m_shards == 0
+        ? 0.0
+        : double(answer.m_shards - answer.m_missingShards) / double(answer.m_shards);
+    measurement.m_endpointRequests = answer.m_calls;
+    measurement.m_shards = answer.m_shards;
+    metrics.recordQuery(measurement);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "endpoint/callhandle.h"
+#include "forward/forwardexecution.h"
+#include "metrics/callermetricstable.h"
+#include "metrics/metricsregistry.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace flamingo {
+
+class EndpointClient;
+
+/** Counts of a ForwardRunner since its start, for metrics. */
+struct ForwardCounters {
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_calls = 0;
+    std::uint64_t m_hedges = 0;
+    std::uint64_t m_failedCalls = 0;
+    std::uint64_t m_abandoned = 0; // requests whose callers left
+};
+
+/**
+ * Runs forwarded requests on an event loop: carries out the effects of the execution and feeds it events.
+ *
+ * Calls that are still open after the answer run on, so that their connections can be used again; those of a caller
+ * that has left are cancelled.
+ *
+ * Thread safety: none; all calls on the thread of the io_context. The references outlive the object.
+ */
+class ForwardRunner {
+public:
+    using AnswerHandler = std::function<void(ForwardAnswer)>;
+
+    ForwardRunner(
+        boost::asio::io_context& io, EndpointClient& client, ForwardState& state, MetricsRegistry& metrics);
+    ~ForwardRunner();
+    ForwardRunner(const ForwardRunner&) = delete;
+    ForwardRunner& operator=(const ForwardRunner&) = delete;
+
+    /**
+     * Starts a request with a route; the handler is called at most once, possibly before this returns.
+     *
+     * It is not called after abandon().
+     */
+    ExecutionId start(ForwardRequest request, AnswerHandler handler);
+
+    /** Ends the request, whose caller has left; without effect once it is answered. */
+    void abandon(ExecutionId execution);
+
+    /** Returns the number of requests that are not yet answered. */
+    std::size_t inFlight() const { return m_running.size(); }
+
+    const ForwardCounters& counters() const { return m_counters; }
+
+private:
+    struct Running;
+    using RunningPtr = std::shared_ptr<Running>;
+
+    void carryOut(const RunningPtr& running, ForwardEffects effects);
+    void send(const RunningPtr& running, ForwardEffects::Send effect);
+    void takeReply(const RunningPtr& running, AttemptNumber attempt, EndpointReply reply);
+    void logFailedCall(const Running& running, AttemptNumber attempt, const EndpointReply& reply) const;
+    void setTimer(const RunningPtr& running, MonotonicTime at);
+    void wake(ExecutionId execution);
+    void finish(const RunningPtr& running, ForwardAnswer answer);
+    void record(const ForwardExecution& execution, const ForwardAnswer& answer, Microseconds elapsed);
+
+    boost::asio::io_context& m_io;
+    EndpointClient& m_client;
+    ForwardState& m_state;
+    CallerMetricsTable m_metrics;
+    ForwardCounters m_counters;
+    std::uint64_t m_lastExecution = 0;
+    std::unordered_map<ExecutionId, RunningPtr> m_running;
+};
+
+} // namespace flamingo
--- a/src/libflamingo/daemon/queryrunner.h
+++ b/src/libflamingo/daemon/queryrunner.h
@@ -8,7 +8,7 @@
 #include "routing/admission.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "base/monotonictimer.h"
 
 #include <functional>
 #include <map>
@@ -69,7 +69,7 @@
         AnswerHandler m_handler;
         CallerClass m_countedIn;
         MonotonicTime m_startedAt;
-        boost::asio::steady_timer m_timer;
+        MonotonicTimer m_timer;
         std::map<AttemptNumber, CallHandle> m_calls;
     };
     using RunningPtr = std::shared_ptr<Running>;
--- a/src/libflamingo/daemon/requestrunner.h
+++ b/src/libflamingo/daemon/requestrunner.h
@@ -38,7 +38,7 @@
         AnswerHandler m_handler;
         CallerClass m_countedIn;
         MonotonicTime m_startedAt;
-        boost::asio::steady_timer m_timer;
+        MonotonicTimer m_timer;
         std::map<AttemptNumber, CallHandle> m_calls;
         bool m_recording = false; // the answer is on its way into the claim
         std::optional<CallerAnswer> m_held; // success that waits for its record
--- a/src/libflamingo/endpoint/endpointcall.h
+++ b/src/libflamingo/endpoint/endpointcall.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "http/httpfield.h"
 
 #include <cstdint>
 #include <functional>
@@ -14,13 +15,16 @@
     EndpointId m_endpoint;
     std::string m_address; // IP address
     std::uint16_t m_port = 0;
-    std::string m_path; // "/shard/query" or "/shard/request"
+    std::string m_path; // "/shard/query" or "/shard/request", or the target of a forwarded request
     RequestId m_request;
     AttemptNumber m_attempt;
     SnapshotVersion m_snapshot;
     LayoutId m_layout;
     ShardIndex m_shard;
     std::string m_kind;
+    std::string m_method = "POST";
+    std::string m_host; // as the caller named it; for forwarded requests
+    HttpFields m_fields; // of a forwarded request
     std::string m_body;
     MonotonicTime m_deadline;
     // Opens a connection for this call alone and closes it afterwards. Required for requests that
@@ -53,6 +57,9 @@
     LayoutId m_layout;
     ShardIndex m_shard;
     double m_load = 0.0; // the endpoint's own report, 0 to 1; may lag or mislead
+    bool m_wrongEndpoint = false; // another endpoint answered at the address; it did not run the request
+    std::string m_receipt; // by which the caller recognises the endpoint's answer
+    HttpFields m_fields; // that are passed on with a forwarded answer
     std::string m_body;
     Microseconds m_elapsed { 0 };
     std::string m_text; // error for people
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -2,10 +2,9 @@
 
 #include "endpoint/connectionpool.h"
 #include "endpoint/httpconnectionowner.h"
-#include "endpoint/requestheader.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "base/monotonictimer.h"
 
 #include <algorithm>
 #include <chrono>
@@ -45,7 +44,7 @@
 
 Microseconds since(MonotonicTime start)
 {
-    return std::chrono::duration_cast<Microseconds>(std::chrono::steady_clock::now() - start);
+    return std::chrono::duration_cast<Microseconds>(monotonicNow() - start);
 }
 
 EndpointReply failure(CallOutcome outcome, std::string text)
@@ -62,7 +61,7 @@
     if (pool.m_idle.empty())
         return nullptr;
     HttpConnection* newest = pool.m_idle.back();
-    if (proven && std::chrono::steady_clock::now() - newest->note().m_provenAt > provenFor)
+    if (proven && monotonicNow() - newest->note().m_provenAt > provenFor)
         return nullptr;
     return newest;
 }
@@ -76,8 +75,9 @@
 
 class EndpointClient::Impl final : public detail::HttpConnectionOwner {
 public:
-    explicit Impl(asio::io_context& context)
+    Impl(asio::io_context& context, const EndpointProtocol& protocol)
         : m_context(context)
+        , m_protocol(protocol)
         , m_timer(context)
     {
     }
@@ -100,10 +100,10 @@
         running.m_handle = handle;
         running.m_call = std::move(call);
         running.m_handler = std::move(handler);
-        running.m_startedAt = std::chrono::steady_clock::now();
+        running.m_startedAt = monotonicNow();
         ++m_counters.m_callsStarted;
         ++m_counters.m_callsInFlight;
-        if (!detail::hasValidHeaderTexts(running.m_call)) {
+        if (!m_protocol.m_isValid(running.m_call)) {
             post(running, failure(CallOutcome::NotSent, "request id, kind or path does not fit into an HTTP header"));
             return handle;
         }
@@ -246,7 +246,7 @@
 
     HttpConnection& open(ConnectionPool& pool, const RunningCall* call)
     {
-        auto connection = HttpConnection::create(m_context, *this);
+        auto connection = HttpConnection::create(m_context, m_protocol, *this);
         HttpConnection::Note& note = connection->note();
         note.m_pool = &pool;
         if (call) {
@@ -264,7 +264,7 @@
     /** Sends the call; returns false if no byte has left and the connection is gone. */
     bool dispatch(RunningCall& call, HttpConnection& connection)
     {
-        const MonotonicTime now = std::chrono::steady_clock::now();
+        const MonotonicTime now = monotonicNow();
         if (call.m_call.m_deadline <= now) {
             keep(connection);
             post(call, failure(CallOutcome::NotSent, "deadline passed before sending"));
@@ -274,7 +274,7 @@
         call.m_connection = &connection;
         call.m_sentAt = now;
         const auto remaining = std::chrono::duration_cast<Milliseconds>(call.m_call.m_deadline - now);
-        if (connection.send(detail::requestHeader(call.m_call, remaining), call.m_call.m_body)
+        if (connection.send(m_protocol.m_header(call.m_call, remaining), call.m_call.m_body)
             == HttpConnection::SendResult::Started)
             return true;
         call.m_connection = nullptr;
@@ -401,7 +401,7 @@
 
     void onTimer()
     {
-        const MonotonicTime now = std::chrono::steady_clock::now();
+        const MonotonicTime now = monotonicNow();
         while (!m_deadlines.empty() && m_deadlines.top().m_at <= now) {
             const auto found = m_calls.find(m_deadlines.top().m_call);
             m_deadlines.pop();
@@ -450,7 +450,7 @@
         ++m_counters.m_connectionsOpened;
         HttpConnection::Note& note = connection.note();
         ConnectionPool& pool = *note.m_pool;
-        note.m_provenAt = std::chrono::steady_clock::now();
+        note.m_provenAt = monotonicNow();
         if (!std::exchange(note.m_reserved, false)) {
             --pool.m_connecting;
             keep(connection);
@@ -469,7 +469,7 @@
     {
         HttpConnection::Note& note = connection.note();
         ConnectionPool& pool = *note.m_pool;
-        note.m_provenAt = std::chrono::steady_clock::now();
+        note.m_provenAt = monotonicNow();
         const RunningCall& call = m_calls.at(note.m_call);
         note.m_reusable = note.m_reusable && !call.m_call.m_freshConnection;
         const EndpointReplyHandler handler = finish(call, reply);
@@ -523,8 +523,9 @@
     }
 
     asio::io_context& m_context;
+    const EndpointProtocol& m_protocol;
     std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
-    asio::steady_timer m_timer;
+    MonotonicTimer m_timer;
     MonotonicTime m_armedFor = MonotonicTime::max();
     std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>> m_deadlines;
     std::unordered_map<CallHandle, RunningCall> m_calls;
@@ -533,8 +534,8 @@
     EndpointClientCounters m_counters;
 };
 
-EndpointClient::EndpointClient(asio::io_context& context)
-    : m_impl(std::make_unique<Impl>(context))
+EndpointClient::EndpointClient(asio::io_context& context, const EndpointProtocol& protocol)
+    : m_impl(std::make_unique<Impl>(context, protocol))
 {
 }
 
--- a/src/libflamingo/endpoint/endpointclient.h
+++ b/src/libflamingo/endpoint/endpointclient.h
@@ -4,6 +4,7 @@
 #include "endpoint/endpointcall.h"
 #include "endpoint/endpointcounters.h"
 #include "endpoint/endpointlimits.h"
+#include "endpoint/endpointprotocol.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -24,7 +25,8 @@
 class EndpointClient {
 public:
     /** Creates a client without connections. The io_context must outlive the client. */
-    explicit EndpointClient(boost::asio::io_context& context);
+    explicit EndpointClient(
+        boost::asio::io_context& context, const EndpointProtocol& protocol = snapshotProtocol());
 
     /** Closes all connections at once. Handlers of unfinished calls are dropped without being called. */
     ~EndpointClient();
--- a/src/libflamingo/endpoint/httpconnection.cpp
+++ b/src/libflamingo/endpoint/httpconnection.cpp
@@ -30,8 +30,9 @@
 
 class BeastConnection final : public HttpConnection {
 public:
-    BeastConnection(asio::io_context& context, HttpConnectionOwner& owner)
+    BeastConnection(asio::io_context& context, const EndpointProtocol& protocol, HttpConnectionOwner& owner)
         : m_owner(&owner)
+        , m_protocol(protocol)
         , m_socket(context)
         , m_timer(context)
     {
@@ -119,7 +120,7 @@
             m_owner->connected(*this);
     }
 
-    void expectAnswer() { m_parser.emplace(maximumAnswerBytes); }
+    void expectAnswer() { m_parser.emplace(m_protocol, maximumAnswerBytes); }
 
     // One read is outstanding on every open connection: it takes the answer of a busy one and
     // notices that the peer closes an idle one.
@@ -224,6 +225,7 @@
     }
 
     HttpConnectionOwner* m_owner;
+    const EndpointProtocol& m_protocol;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer;
@@ -235,9 +237,10 @@
 
 } // namespace
 
-std::shared_ptr<HttpConnection> HttpConnection::create(boost::asio::io_context& context, HttpConnectionOwner& owner)
+std::shared_ptr<HttpConnection> HttpConnection::create(
+    boost::asio::io_context& context, const EndpointProtocol& protocol, HttpConnectionOwner& owner)
 {
-    return std::make_shared<BeastConnection>(context, owner);
+    return std::make_shared<BeastConnection>(context, protocol, owner);
 }
 
 } // namespace flamingo::detail
--- a/src/libflamingo/endpoint/httpconnection.h
+++ b/src/libflamingo/endpoint/httpconnection.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "endpoint/callhandle.h"
 #include "endpoint/endpointcall.h"
+#include "endpoint/endpointprotocol.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -46,7 +47,8 @@
     };
 
     /** Creates a closed connection. Events go to the owner until detach(). */
-    static std::shared_ptr<HttpConnection> create(boost::asio::io_context& context, HttpConnectionOwner& owner);
+    static std::shared_ptr<HttpConnection> create(
+        boost::asio::io_context& context, const EndpointProtocol& protocol, HttpConnectionOwner& owner);
 
     virtual ~HttpConnection() = default;
 
--- a/src/libflamingo/endpoint/replyparser.cpp
+++ b/src/libflamingo/endpoint/replyparser.cpp
@@ -1,10 +1,6 @@
 #include "endpoint/replyparser.h"
 
-#include <boost/beast/core/string.hpp>
-
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -12,31 +8,19 @@
 namespace flamingo::detail {
 
 namespace http = boost::beast::http;
-using boost::beast::iequals;
 
 namespace {
 
 // An endpoint that announces more than it sends must not make this process reserve the whole limit.
 constexpr std::uint64_t largestReservation = 65536;
-constexpr Milliseconds maximumRetryAfter { 60000 };
 constexpr unsigned firstErrorStatus = 400;
 
 std::string_view view(boost::beast::string_view text) { return { text.data(), text.size() }; }
 
-/** Returns the number that the whole text stands for, or zero. */
-template <typename Number> Number numberOrZero(boost::beast::string_view text)
-{
-    Number number {};
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, number);
-    if (result.ec != std::errc() || result.ptr != end)
-        return Number {};
-    return number;
-}
-
 } // namespace
 
-ReplyParser::ReplyParser(std::uint64_t bodyLimit)
+ReplyParser::ReplyParser(const EndpointProtocol& protocol, std::uint64_t bodyLimit)
+    : m_protocol(protocol)
 {
     body_limit(bodyLimit);
     eager(true);
@@ -57,28 +41,9 @@
     m_reply.m_status = static_cast<unsigned>(code);
 }
 
-void ReplyParser::on_field_impl(http::field field, string_view name, string_view value, error_code&)
+void ReplyParser::on_field_impl(http::field, string_view name, string_view value, error_code&)
 {
-    if (field != http::field::unknown)
-        return;
-    if (iequals(name, "X-Flamingo-Request")) {
-        m_reply.m_request = RequestId(std::string(view(value)));
-    } else if (iequals(name, "X-Flamingo-Attempt")) {
-        m_reply.m_attempt = AttemptNumber(numberOrZero<std::uint32_t>(value));
-    } else if (iequals(name, "X-Flamingo-Snapshot")) {
-        m_reply.m_snapshot = SnapshotVersion(numberOrZero<std::uint64_t>(value));
-    } else if (iequals(name, "X-Flamingo-Layout")) {
-        m_reply.m_layout = LayoutId(numberOrZero<std::uint64_t>(value));
-    } else if (iequals(name, "X-Flamingo-Shard")) {
-        m_reply.m_shard = ShardIndex(numberOrZero<std::uint32_t>(value));
-    } else if (iequals(name, "X-Flamingo-Load")) {
-        const auto load = numberOrZero<double>(value);
-        m_reply.m_load = std::isfinite(load) ? std::clamp(load, 0.0, 1.0) : 0.0;
-    } else if (iequals(name, "X-Flamingo-Not-Run")) {
-        m_reply.m_notRun = value == "1";
-    } else if (iequals(name, "Retry-After-Ms")) {
-        m_reply.m_retryAfter = std::min(Milliseconds(numberOrZero<std::uint32_t>(value)), maximumRetryAfter);
-    }
+    m_protocol.m_readField(m_reply, view(name), view(value));
 }
 
 void ReplyParser::on_header_impl(error_code&) { }
--- a/src/libflamingo/endpoint/replyparser.h
+++ b/src/libflamingo/endpoint/replyparser.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpoint/endpointcall.h"
+#include "endpoint/endpointprotocol.h"
 
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -19,7 +19,7 @@
 class ReplyParser final : public boost::beast::http::basic_parser<false> {
 public:
     /** Expects one answer of at most the given size. */
-    explicit ReplyParser(std::uint64_t bodyLimit);
+    ReplyParser(const EndpointProtocol& protocol, std::uint64_t bodyLimit);
 
     /** Returns the HTTP status. The header must be done. */
     unsigned status() const { return m_reply.m_status; }
@@ -43,6 +43,7 @@
     std::size_t on_chunk_body_impl(std::uint64_t remain, string_view body, error_code& error) override;
     void on_finish_impl(error_code& error) override;
 
+    const EndpointProtocol& m_protocol;
     EndpointReply m_reply;
 };
 
--- a/src/libflamingo/endpoint/requestheader.cpp
+++ b/src/libflamingo/endpoint/requestheader.cpp
@@ -1,8 +1,12 @@
+#include "endpoint/endpointprotocol.h"
 #include "endpoint/requestheader.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <string_view>
 
 namespace flamingo::detail {
@@ -35,6 +39,46 @@
     out.append("\r\n");
 }
 
+constexpr Milliseconds maximumRetryAfter { 60000 };
+
+/** Returns the number that the whole text stands for, or zero. */
+template <typename Number> Number numberOrZero(std::string_view text)
+{
+    Number number {};
+    const char* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, number);
+    if (result.ec != std::errc() || result.ptr != end)
+        return Number {};
+    return number;
+}
+
+bool isNamed(std::string_view name, std::string_view other)
+{
+    return boost::beast::iequals({ name.data(), name.size() }, { other.data(), other.size() });
+}
+
+void readSnapshotField(EndpointReply& reply, std::string_view name, std::string_view value)
+{
+    if (isNamed(name, "X-Flamingo-Request")) {
+        reply.m_request = RequestId(std::string(value));
+    } else if (isNamed(name, "X-Flamingo-Attempt")) {
+        reply.m_attempt = AttemptNumber(numberOrZero<std::uint32_t>(value));
+    } else if (isNamed(name, "X-Flamingo-Snapshot")) {
+        reply.m_snapshot = SnapshotVersion(numberOrZero<std::uint64_t>(value));
+    } else if (isNamed(name, "X-Flamingo-Layout")) {
+        reply.m_layout = LayoutId(numberOrZero<std::uint64_t>(value));
+    } else if (isNamed(name, "X-Flamingo-Shard")) {
+        reply.m_shard = ShardIndex(numberOrZero<std::uint32_t>(value));
+    } else if (isNamed(name, "X-Flamingo-Load")) {
+        const auto load = numberOrZero<double>(value);
+        reply.m_load = std::isfinite(load) ? std::clamp(load, 0.0, 1.0) : 0.0;
+    } else if (isNamed(name, "X-Flamingo-Not-Run")) {
+        reply.m_notRun = value == "1";
+    } else if (isNamed(name, "Retry-After-Ms")) {
+        reply.m_retryAfter = std::min(Milliseconds(numberOrZero<std::uint32_t>(value)), maximumRetryAfter);
+    }
+}
+
 } // namespace
 
 bool hasValidHeaderTexts(const EndpointCall& call)
@@ -69,3 +113,14 @@
 }
 
 } // namespace flamingo::detail
+
+namespace flamingo {
+
+const EndpointProtocol& snapshotProtocol()
+{
+    static constexpr EndpointProtocol protocol { detail::hasValidHeaderTexts, detail::requestHeader,
+        detail::readSnapshotField };
+    return protocol;
+}
+
+} // namespace flamingo
--- a/src/libflamingo/endpoint/tests/endpointclient.cpp
+++ b/src/libflamingo/endpoint/tests/endpointclient.cpp
@@ -35,7 +35,7 @@
         call.m_shard = ShardIndex(11);
         call.m_kind = "query";
         call.m_body = R"({"q":"rose"})";
-        call.m_deadline = std::chrono::steady_clock::now() + deadline;
+        call.m_deadline = monotonicNow() + deadline;
         return call;
     }
 
@@ -57,9 +57,9 @@
 
     template <typename Condition> void runUntil(Condition condition)
     {
-        const auto end = std::chrono::steady_clock::now() + hangLimit;
+        const auto end = monotonicNow() + hangLimit;
         while (!condition()) {
-            REQUIRE(std::chrono::steady_clock::now() < end);
+            REQUIRE(monotonicNow() < end);
             m_context.restart();
             m_context.run_one_for(10ms);
         }
--- /dev/null
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -0,0 +1,320 @@
+#include "forward/forwardexecution.h"
+
+#include "forward/forwardfinish.h"
+
+#include <algorithm>
+
+namespace flamingo {
+
+namespace {
+
+// Executions that wait for an endpoint of a routed service all wait for this; it has no snapshots.
+const ShardHolding wholeService {};
+
+/** Which call of a part is to be sent. */
+enum class CallKind {
+    First,
+    Hedge, // while another call of the part is open
+    Retry, // after a call that failed or may have run
+};
+
+class Step {
+public:
+    Step(ForwardState& state, ForwardExecution& execution, MonotonicTime now)
+        : m_state(state)
+        , m_execution(execution)
+        , m_route(*execution.m_request.m_route)
+        , m_now(now)
+    {
+    }
+
+    void start()
+    {
+        for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
+            earnExtraLoad(forwardStats(m_state, m_execution.m_parts[index].m_service).m_budget);
+            trySend(index, CallKind::First);
+        }
+    }
+
+    void takeReply(AttemptNumber number, EndpointReply reply)
+    {
+        ForwardCall& call = m_execution.m_calls.at(number.value());
+        ForwardPart& part = m_execution.m_parts[call.m_part];
+        --part.m_openCalls;
+        const CallVerdict verdict = forwardVerdict(m_execution.m_request, m_route, reply);
+        endAttempt(m_state.m_routing, part.m_service, call.m_attempt, verdict, &reply, m_now);
+        if (verdict == CallVerdict::Answered)
+            addLatency(m_state.m_latencies[m_route.m_key],
+                std::chrono::duration_cast<Microseconds>(m_now - call.m_attempt.m_sentAt), m_now);
+        wakeWaiting(call.m_attempt.m_endpoint);
+        if (m_execution.m_finished || part.m_state != ForwardPart::State::Open)
+            return;
+        if (verdict == CallVerdict::Answered) {
+            settle(part, ForwardPart::State::Answered);
+            part.m_reply = std::move(reply);
+            return;
+        }
+        takeFailure(call.m_part, std::move(reply));
+    }
+
+    void timer()
+    {
+        if (m_execution.m_finished)
+            return;
+        for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
+            ForwardPart& part = m_execution.m_parts[index];
+            if (part.m_state != ForwardPart::State::Open)
+                continue;
+            if (part.m_openCalls == 0 && (m_now >= part.m_retryAt || part.m_waiting)) {
+                part.m_retryAt = MonotonicTime::max();
+                trySend(index, part.m_mayHaveRun == 0 ? CallKind::First : CallKind::Retry);
+            } else if (m_now >= part.m_hedgeAt) {
+                part.m_hedgeAt = MonotonicTime::max();
+                trySend(index, CallKind::Hedge);
+            }
+        }
+    }
+
+    ForwardEffects finish()
+    {
+        if (m_execution.m_finished)
+            return std::move(m_effects);
+        m_effects.m_answer = decideAnswer(m_execution, m_now);
+        if (m_effects.m_answer) {
+            abandonForward(m_state, m_execution);
+            return std::move(m_effects);
+        }
+        m_effects.m_wakeAt = nextWake();
+        return std::move(m_effects);
+    }
+
+private:
+    bool mayRepeat() const { return m_route.m_idempotence == Idempotence::Idempotent; }
+
+    void settle(ForwardPart& part, ForwardPart::State state)
+    {
+        part.m_state = state;
+        part.m_hedgeAt = MonotonicTime::max();
+        part.m_retryAt = MonotonicTime::max();
+        stopWaitingFor(part);
+        ++(state == ForwardPart::State::Answered ? m_execution.m_answered : m_execution.m_lost);
+    }
+
+    void stopWaitingFor(ForwardPart& part)
+    {
+        if (std::exchange(part.m_waiting, false))
+            stopWaiting(m_state.m_routing, part.m_service, wholeService, m_execution.m_id);
+    }
+
+    void takeFailure(std::size_t index, EndpointReply reply)
+    {
+        ForwardPart& part = m_execution.m_parts[index];
+        const bool notRun = provesNotRun(reply) || reply.m_wrongEndpoint;
+        if (notRun)
+            --part.m_mayHaveRun;
+        if (notRun && reply.m_outcome == CallOutcome::Answered)
+            ++part.m_refused;
+        const bool isOwn = reply.m_request.value().empty() || reply.m_request == m_execution.m_request.m_id;
+        if (reply.m_outcome == CallOutcome::Answered && isOwn)
+            part.m_reply = std::move(reply);
+        if (part.m_openCalls > 0)
+            return; // another call of the part may still answer
+        if ((!notRun && !mayRepeat()) || part.m_refused > m_state.m_settings.m_refusalsBorne) {
+            settle(part, ForwardPart::State::Lost);
+            return;
+        }
+        trySend(index, CallKind::Retry);
+    }
+
+    void trySend(std::size_t index, CallKind kind)
+    {
+        ForwardPart& part = m_execution.m_parts[index];
+        if (part.m_mayHaveRun >= std::max(1U, m_route.m_maxAttempts)
+            || (kind == CallKind::Hedge && !mayRepeat())) {
+            giveUp(part, kind);
+            return;
+        }
+        const EndpointChoice choice = choose(part, kind);
+        if (!choice.m_endpoint) {
+            waitOrGiveUp(part, kind, choice);
+            return;
+        }
+        // Only calls that reached an endpoint count as load, and a first call is none beyond the request.
+        const bool extra = part.m_mayHaveRun + part.m_refused > 0;
+        if (extra && !spendExtraLoad(forwardStats(m_state, part.m_service).m_budget)) {
+            giveUp(part, kind);
+            return;
+        }
+        send(index, *choice.m_endpoint, kind);
+    }
+
+    EndpointChoice choose(ForwardPart& part, CallKind kind)
+    {
+        static const std::vector<EndpointIndex> none;
+        const auto& members = m_state.m_routing.m_table.m_members;
+        const auto found = members.find(part.m_service);
+        const std::vector<EndpointIndex>& replicas = found == members.end() ? none : found->second;
+        const ProbeUse probes = kind == CallKind::Hedge ? ProbeUse::Never
+            : mayRepeat()                               ? ProbeUse::Allowed
+                                                        : ProbeUse::Harmless;
+        EndpointChoice choice = chooseEndpoint(
+            m_state.m_routing, ChoiceRequest { replicas, part.m_tried, probes }, m_state.m_random, m_now);
+        if (choice.m_endpoint || kind == CallKind::Hedge || part.m_tried.empty() || choice.m_busy)
+            return choice;
+        // All others have failed too, so that one that was tried may be asked once more.
+        part.m_tried.clear();
+        return chooseEndpoint(
+            m_state.m_routing, ChoiceRequest { replicas, part.m_tried, probes }, m_state.m_random, m_now);
+    }
+
+    void giveUp(ForwardPart& part, CallKind kind)
+    {
+        if (kind != CallKind::Hedge && part.m_openCalls == 0)
+            settle(part, ForwardPart::State::Lost);
+    }
+
+    void waitOrGiveUp(ForwardPart& part, CallKind kind, const EndpointChoice& choice)
+    {
+        if (kind == CallKind::Hedge)
+            return;
+        if (choice.m_busy) {
+            waitForShard(m_state.m_routing, part.m_service, wholeService, m_execution.m_id);
+            part.m_waiting = true;
+            return;
+        }
+        if (choice.m_retryAt && *choice.m_retryAt < std::min(m_execution.m_goalAt, m_execution.m_deadline)) {
+            part.m_retryAt = std::max(*choice.m_retryAt, m_now);
+            return;
+        }
+        giveUp(part, kind);
+    }
+
+    void send(std::size_t index, EndpointIndex endpoint, CallKind kind)
+    {
+        ForwardPart& part = m_execution.m_parts[index];
+        stopWaitingFor(part);
+        const AttemptNumber number(static_cast<std::uint32_t>(m_execution.m_calls.size()));
+        m_execution.m_calls.push_back({ index, beginAttempt(m_state.m_routing, endpoint, false, m_now), kind == CallKind::Hedge });
+        part.m_tried.push_back(endpoint);
+        ++part.m_openCalls;
+        ++part.m_mayHaveRun;
+        part.m_retryAt = MonotonicTime::max();
+        part.m_hedgeAt = mayRepeat() && part.m_mayHaveRun < m_route.m_maxAttempts
+            ? m_now + forwardHedgeDelay(m_state, m_route)
+            : MonotonicTime::max();
+        const ForwardRequest& request = m_execution.m_request;
+        EndpointCall call;
+        addressCall(m_state.m_routing, endpoint, call);
+        call.m_method = request.m_method;
+        call.m_host = request.m_host;
+        call.m_path = request.m_target;
+        call.m_fields = request.m_fields;
+        call.m_body = request.m_body;
+        call.m_request = request.m_id;
+        call.m_attempt = number;
+        call.m_deadline = m_execution.m_deadline;
+        call.m_freshConnection = !mayRepeat();
+        call.m_provenConnection = kind != CallKind::First;
+        m_effects.m_sends.push_back({ number, std::move(call), kind == CallKind::Hedge });
+    }
+
+    void wakeWaiting(EndpointIndex endpoint)
+    {
+        const auto waiting = longestWaiting(m_state.m_routing, endpoint);
+        if (waiting && canTakeCall(m_state.m_routing, endpoint, m_now))
+            m_effects.m_wake.push_back(*waiting);
+    }
+
+    MonotonicTime nextWake() const
+    {
+        MonotonicTime next = m_execution.m_deadline;
+        if (m_now < m_execution.m_goalAt)
+            next = std::min(next, m_execution.m_goalAt);
+        for (const ForwardPart& part : m_execution.m_parts)
+            next = std::min({ next, part.m_hedgeAt, part.m_retryAt });
+        return next;
+    }
+
+    ForwardState& m_state;
+    ForwardExecution& m_execution;
+    const Route& m_route;
+    MonotonicTime m_now;
+    ForwardEffects m_effects;
+};
+
+// Returns one service, drawn by the weights.
+ServiceName drawTarget(const Route& route, RandomEngine& random)
+{
+    double total = 0.0;
+    for (const RouteTarget& target : route.m_targets)
+        total += target.m_weight;
+    double drawn = std::uniform_real_distribution<double>(0.0, total)(random);
+    for (const RouteTarget& target : route.m_targets) {
+        if (drawn < target.m_weight)
+            return target.m_service;
+        drawn -= target.m_weight;
+    }
+    return route.m_targets.back().m_service;
+}
+
+void setTimes(const ForwardSettings& settings, ForwardExecution& execution)
+{
+    const ForwardRequest& request = execution.m_request;
+    const Route& route = *request.m_route;
+    Milliseconds allowed = route.m_timeout;
+    if (request.m_timeLeft.count() > 0)
+        allowed = std::min(allowed, request.m_timeLeft);
+    // A short time is not used up by the reserve.
+    allowed -= std::min(settings.m_deadlineReserve, allowed / 4);
+    execution.m_deadline = request.m_receivedAt + allowed;
+    if (route.m_goal.count() == 0)
+        return;
+    const Milliseconds reserve
+        = settings.m_answerReserve + (request.m_newConnection ? settings.m_connectReserve : Milliseconds(0));
+    execution.m_goalAt = request.m_receivedAt + std::max(route.m_goal - reserve, route.m_goal / 2);
+}
+
+} // namespace
+
+ForwardEffects startForward(ForwardState& state, ForwardExecution& execution, MonotonicTime now)
+{
+    const Route& route = *execution.m_request.m_route;
+    setTimes(state.m_settings, execution);
+    if (route.m_shards.empty()) {
+        execution.m_parts.emplace_back();
+        execution.m_parts.back().m_service = drawTarget(route, state.m_random);
+    }
+    for (const ServiceName& shard : route.m_shards) {
+        execution.m_parts.emplace_back();
+        execution.m_parts.back().m_service = shard;
+    }
+    Step step(state, execution, now);
+    step.start();
+    return step.finish();
+}
+
+ForwardEffects takeForwardReply(ForwardState& state, ForwardExecution& execution, AttemptNumber attempt,
+    EndpointReply reply, MonotonicTime now)
+{
+    Step step(state, execution, now);
+    step.takeReply(attempt, std::move(reply));
+    return step.finish();
+}
+
+ForwardEffects forwardTimer(ForwardState& state, ForwardExecution& execution, MonotonicTime now)
+{
+    Step step(state, execution, now);
+    step.timer();
+    return step.finish();
+}
+
+void abandonForward(ForwardState& state, ForwardExecution& execution)
+{
+    execution.m_finished = true;
+    for (ForwardPart& part : execution.m_parts) {
+        if (std::exchange(part.m_waiting, false))
+            stopWaiting(state.m_routing, part.m_service, wholeService, execution.m_id);
+    }
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -0,0 +1,147 @@
+#include "forward/forwardfinish.h"
+
+#include "forward/recordmerge.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingo {
+
+namespace {
+
+constexpr unsigned firstErrorStatus = 400;
+constexpr unsigned firstServerErrorStatus = 500;
+
+ForwardAnswer answerTo(const ForwardExecution& execution)
+{
+    ForwardAnswer answer;
+    answer.m_id = execution.m_request.m_id;
+    answer.m_shards = static_cast<std::uint32_t>(execution.m_parts.size());
+    answer.m_missingShards = answer.m_shards - execution.m_answered;
+    answer.m_calls = static_cast<std::uint32_t>(execution.m_calls.size());
+    return answer;
+}
+
+ForwardAnswer passReply(const ForwardExecution& execution, const EndpointReply& reply)
+{
+    ForwardAnswer answer = answerTo(execution);
+    answer.m_kind = ForwardAnswer::Kind::Passed;
+    answer.m_code = reply.m_status < firstServerErrorStatus ? ResultCode::Ok : ResultCode::EndpointFailed;
+    answer.m_status = reply.m_status;
+    answer.m_fields = reply.m_fields;
+    answer.m_body = reply.m_body;
+    answer.m_receipts.push_back(reply.m_receipt);
+    return answer;
+}
+
+ForwardAnswer merge(const ForwardExecution& execution)
+{
+    ForwardAnswer answer = answerTo(execution);
+    answer.m_kind = ForwardAnswer::Kind::Merged;
+    std::vector<std::string_view> bodies;
+    for (const ForwardPart& part : execution.m_parts) {
+        if (part.m_state != ForwardPart::State::Answered)
+            continue;
+        bodies.push_back(part.m_reply->m_body);
+        answer.m_receipts.push_back(part.m_reply->m_receipt);
+    }
+    answer.m_body = mergeRecords(bodies, execution.m_request.m_route->m_topRecords);
+    return answer;
+}
+
+ForwardAnswer own(const ForwardExecution& execution, ResultCode code, std::string text)
+{
+    ForwardAnswer answer = answerTo(execution);
+    answer.m_code = code;
+    answer.m_text = std::move(text);
+    return answer;
+}
+
+/** Returns the failure, as a refusal only if no endpoint ran or may have run the request. */
+ForwardAnswer fail(const ForwardExecution& execution, const char* text)
+{
+    const bool mayHaveRun = std::any_of(execution.m_parts.begin(), execution.m_parts.end(),
+        [](const ForwardPart& part) { return part.m_mayHaveRun > 0; });
+    if (mayHaveRun)
+        return own(execution, ResultCode::EndpointFailed, text);
+    const bool refused = std::any_of(execution.m_parts.begin(), execution.m_parts.end(),
+        [](const ForwardPart& part) { return part.m_refused > 0; });
+    return own(execution, refused ? ResultCode::EndpointRefused : ResultCode::NoEndpoint, text);
+}
+
+ForwardAnswer deadlineAnswer(const ForwardExecution& execution)
+{
+    ForwardAnswer answer = fail(execution, "no answer by the deadline");
+    if (answer.m_code == ResultCode::EndpointFailed)
+        answer.m_code = ResultCode::DeadlineExceeded;
+    return answer;
+}
+
+std::uint32_t floorOf(const ForwardExecution& execution)
+{
+    const double exact = execution.m_request.m_route->m_shardFloor * double(execution.m_parts.size());
+    // A product such as 0.89 * 100 must not round up past the whole number that it stands for.
+    constexpr double tolerance = 1e-9;
+    return std::max(1U, static_cast<std::uint32_t>(std::ceil(exact - tolerance)));
+}
+
+std::optional<ForwardAnswer> decideShards(const ForwardExecution& execution, MonotonicTime now)
+{
+    const auto shards = static_cast<std::uint32_t>(execution.m_parts.size());
+    const std::uint32_t floor = floorOf(execution);
+    if (shards - execution.m_lost < floor)
+        return fail(execution, "too few shards can be reached");
+    const bool complete = execution.m_answered + execution.m_lost == shards;
+    if (execution.m_answered >= floor && (complete || now >= execution.m_goalAt || now >= execution.m_deadline))
+        return merge(execution);
+    if (now >= execution.m_deadline)
+        return deadlineAnswer(execution);
+    return std::nullopt;
+}
+
+std::optional<ForwardAnswer> decideSingle(const ForwardExecution& execution, MonotonicTime now)
+{
+    const ForwardPart& part = execution.m_parts.front();
+    if (part.m_state == ForwardPart::State::Answered)
+        return passReply(execution, *part.m_reply);
+    if (part.m_state == ForwardPart::State::Lost) {
+        // An endpoint's own failure is passed on as it is, unless it only says that the request did not run.
+        if (part.m_reply && !part.m_reply->m_notRun && !part.m_reply->m_wrongEndpoint
+            && part.m_reply->m_status >= firstErrorStatus)
+            return passReply(execution, *part.m_reply);
+        return fail(execution, "no endpoint answered");
+    }
+    if (now >= execution.m_deadline)
+        return deadlineAnswer(execution);
+    return std::nullopt;
+}
+
+} // namespace
+
+CallVerdict forwardVerdict(const ForwardRequest& request, const Route& route, const EndpointReply& reply)
+{
+    if (reply.m_outcome != CallOutcome::Answered)
+        return verdictOf(reply);
+    if (reply.m_wrongEndpoint)
+        return CallVerdict::NotReached;
+    if (reply.m_notRun)
+        return CallVerdict::Shed;
+    const bool otherRequest = !reply.m_request.value().empty() && reply.m_request != request.m_id;
+    if (otherRequest || reply.m_status >= firstServerErrorStatus)
+        return CallVerdict::Failed;
+    if (reply.m_status < firstErrorStatus && reply.m_receipt.empty())
+        return CallVerdict::Failed;
+    // Of a shard only a success is a part of the answer.
+    if (!route.m_shards.empty() && reply.m_status >= firstErrorStatus)
+        return CallVerdict::Failed;
+    return CallVerdict::Answered;
+}
+
+std::optional<ForwardAnswer> decideAnswer(const ForwardExecution& execution, MonotonicTime now)
+{
+    if (execution.m_request.m_route->m_shards.empty())
+        return decideSingle(execution, now);
+    return decideShards(execution, now);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/forward/forwardstate.cpp
@@ -0,0 +1,75 @@
+#include "forward/forwardstate.h"
+
+#include <algorithm>
+
+namespace flamingo {
+
+namespace {
+
+// Samples of a route below which its own distribution says little.
+constexpr std::uint64_t samplesForHedgeDelay = 40;
+
+void replaceRoutes(ForwardState& state, const PublishedState& published)
+{
+    state.m_routes = RouteTable();
+    for (const auto& [key, route] : published.m_routes)
+        insertRoute(state.m_routes, route);
+}
+
+void updateRoutes(ForwardState& state, const std::vector<Change>& changes)
+{
+    for (const Change& change : changes) {
+        if (const auto* route = std::get_if<Route>(&change))
+            insertRoute(state.m_routes, *route);
+        else if (const auto* erased = std::get_if<ErasedRoute>(&change))
+            eraseRoute(state.m_routes, erased->m_route);
+    }
+}
+
+void forgetLatencies(ForwardState& state, const PublishedState& published)
+{
+    for (auto known = state.m_latencies.begin(); known != state.m_latencies.end();)
+        known = published.m_routes.count(known->first) > 0 ? std::next(known) : state.m_latencies.erase(known);
+}
+
+} // namespace
+
+void applyForwardState(ForwardState& state, std::shared_ptr<const PublishedState> published, MonotonicTime now,
+    const std::vector<Change>* changes)
+{
+    if (changes && state.m_routing.m_state)
+        updateRoutes(state, *changes);
+    else
+        replaceRoutes(state, *published);
+    state.m_header = published->m_routeHeader;
+    forgetLatencies(state, *published);
+    applyPublishedState(state.m_routing, std::move(published), now, changes);
+}
+
+ServiceStats& forwardStats(ForwardState& state, const ServiceName& service)
+{
+    ServiceStats& stats = serviceStats(state.m_routing, service);
+    const double vms = std::max<double>(1.0, double(state.m_routing.m_table.m_vmHashes.size()));
+    stats.m_budget.m_fraction = state.m_settings.m_extraLoadShare;
+    // A VM must be able to send one extra call, however many VMs share the number.
+    stats.m_budget.m_burst = std::max(1.0, state.m_settings.m_extraLoadCalls / vms);
+    stats.m_budget.m_tokens = std::min(stats.m_budget.m_tokens, stats.m_budget.m_burst);
+    return stats;
+}
+
+Microseconds forwardHedgeDelay(const ForwardState& state, const Route& route)
+{
+    const ForwardSettings& settings = state.m_settings;
+    Microseconds longest = settings.m_longestHedgeDelay;
+    if (route.m_goal.count() > 0)
+        longest = std::chrono::duration_cast<Microseconds>(
+            std::chrono::duration<double, std::milli>(double(route.m_goal.count()) * settings.m_longestHedgeShare));
+    longest = std::max(longest, settings.m_shortestHedgeDelay);
+    const auto known = state.m_latencies.find(route.m_key);
+    if (known == state.m_latencies.end() || latencySamples(known->second) < samplesForHedgeDelay)
+        return longest;
+    const auto learned = latencyQuantile(known->second, settings.m_hedgeQuantile);
+    return std::clamp(learned.value_or(longest), settings.m_shortestHedgeDelay, longest);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/forward/forwardstate.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "forward/forwardsettings.h"
+#include "routes/routeconfiguration.h"
+#include "routes/routetable.h"
+#include "routing/endpointchoice.h"
+#include "routing/routingstate.h"
+
+#include <map>
+#include <memory>
+
+namespace flamingo {
+
+/** Everything that forwarding on one event loop knows and learns. Not for use from several threads. */
+struct ForwardState {
+    RoutingState m_routing;
+    RouteTable m_routes;
+    RouteHeader m_header;
+    ForwardSettings m_settings;
+    std::map<RouteKey, LatencyDistribution> m_latencies; // of the calls of each route
+    RandomEngine m_random;
+};
+
+/**
+ * Takes over a new published state with its endpoints and routes.
+ *
+ * The changes lead to it from the state before; null if they are not known.
+ */
+void applyForwardState(ForwardState& state, std::shared_ptr<const PublishedState> published, MonotonicTime now,
+    const std::vector<Change>* changes);
+
+/** Returns what is known about the service, with the budget that the number of entry VMs allows. */
+ServiceStats& forwardStats(ForwardState& state, const ServiceName& service);
+
+/** Returns how long a call of the route may run before a hedge is due. */
+Microseconds forwardHedgeDelay(const ForwardState& state, const Route& route);
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/http/httpserver.cpp
@@ -0,0 +1,393 @@
+#include "http/httpserver.h"
+
+#include "base/log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <set>
+#include <sys/socket.h>
+
+namespace flamingo {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+// A caller that does not read its answer holds memory until then.
+constexpr Milliseconds writeTimeout { 10000 };
+// After a failed accept, most often for want of descriptors, the next one waits this long.
+constexpr Milliseconds acceptPause { 50 };
+// Longer than the balancer's pause between two probes, so that one slow turn refuses no connection.
+constexpr int listenBacklog = 512;
+
+std::string_view view(boost::beast::string_view text) { return { text.data(), text.size() }; }
+
+unsigned statusOf(const error_code& error)
+{
+    if (error == http::error::body_limit)
+        return 413;
+    if (error == http::error::header_limit)
+        return 431;
+    return 400;
+}
+
+std::string headerOf(const HttpResponse& response, bool close, Milliseconds idleTimeout)
+{
+    std::string header = "HTTP/1.1 " + std::to_string(response.m_status) + " "
+        + std::string(view(http::obsolete_reason(static_cast<http::status>(response.m_status)))) + "\r\n";
+    for (const HttpField& field : response.m_fields)
+        header.append(field.m_name).append(": ").append(field.m_value).append("\r\n");
+    header.append("Content-Length: ").append(std::to_string(response.m_body.size())).append("\r\n");
+    if (close)
+        header.append("Connection: close\r\n");
+    else
+        header.append("Keep-Alive: timeout=").append(std::to_string(idleTimeout.count() / 1000)).append("\r\n");
+    return header.append("\r\n");
+}
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+public:
+    class Connection;
+
+    Impl(asio::io_context& io, HttpHandler handler)
+        : m_io(io)
+        , m_handler(std::move(handler))
+        , m_acceptor(io)
+        , m_pause(io)
+    {
+    }
+
+    bool start(const SocketAddress& address, Reason& reason);
+    void accept();
+    void stopAccepting();
+    void stop();
+
+    asio::io_context& m_io;
+    HttpHandler m_handler;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_pause;
+    CallerLimits m_limits;
+    HttpServerCounters m_counters;
+    std::set<std::shared_ptr<Connection>> m_connections;
+    bool m_closing = false; // each connection ends with its next answer
+    bool m_stopped = false; // no new connections
+};
+
+class HttpServer::Impl::Connection final : public HttpExchange, public std::enable_shared_from_this<Connection> {
+public:
+    Connection(std::shared_ptr<Impl> server, tcp::socket socket)
+        : m_server(std::move(server))
+        , m_socket(std::move(socket))
+        , m_timer(m_server->m_io)
+    {
+    }
+
+    void run()
+    {
+        error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        readRequest();
+    }
+
+    bool isIdle() const { return m_state == State::Reading && !m_sawBytes; }
+
+    void close()
+    {
+        if (m_state == State::Closed)
+            return;
+        const bool waits = m_state == State::Handling;
+        m_state = State::Closed;
+        error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+        m_socket.close(ignored);
+        m_timer.cancel();
+        --m_server->m_counters.m_connectionsOpen;
+        if (waits) {
+            --m_server->m_counters.m_requestsInFlight;
+            ++m_server->m_counters.m_abandoned;
+            if (const auto handler = std::move(m_abandoned))
+                handler();
+        }
+        m_abandoned = nullptr;
+        m_server->m_connections.erase(shared_from_this());
+    }
+
+    HttpRequest& request() override { return m_request; }
+
+    void onAbandoned(std::function<void()> handler) override { m_abandoned = std::move(handler); }
+
+    void respond(HttpResponse response) override
+    {
+        if (m_state != State::Handling)
+            return;
+        --m_server->m_counters.m_requestsInFlight;
+        m_abandoned = nullptr;
+        write(std::move(response), !m_keepAlive || m_server->m_closing);
+    }
+
+private:
+    enum class State {
+        Reading,
+        Handling,
+        Writing,
+        Closed,
+    };
+    using Parser = http::request_parser<http::string_body>;
+
+    void startTimer(Milliseconds timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this(), turn = ++m_timerTurn](error_code error) {
+            if (!error && self->m_timerTurn == turn)
+                self->close();
+        });
+    }
+
+    void readRequest()
+    {
+        m_state = State::Reading;
+        m_parser.emplace();
+        const CallerLimits& limits = m_server->m_limits;
+        m_parser->header_limit(static_cast<std::uint32_t>(limits.m_headerBytes));
+        m_parser->body_limit(limits.m_bodyBytes);
+        m_sawBytes = m_buffer.size() > 0;
+        startTimer(m_sawBytes ? limits.m_headerTimeout : limits.m_idleTimeout);
+        // The first bytes are waited for separately: an idle connection may stay longer than a begun request.
+        if (m_sawBytes) {
+            readHeader();
+            return;
+        }
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+            if (error || self->m_state != State::Reading) {
+                self->close();
+                return;
+            }
+            self->m_sawBytes = true;
+            self->startTimer(self->m_server->m_limits.m_headerTimeout);
+            self->readHeader();
+        });
+    }
+
+    void readHeader()
+    {
+        http::async_read(
+            m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
+                self->onRead(error);
+            });
+    }
+
+    void onRead(error_code error)
+    {
+        if (m_state != State::Reading)
+            return;
+        if (error == http::error::end_of_stream || error == asio::error::eof || error == asio::error::connection_reset) {
+            close();
+            return;
+        }
+        if (error) {
+            ++m_server->m_counters.m_refusedRequests;
+            FLAMINGO_LOG(Info, "refused a malformed request", { "reason", error.message() });
+            write(HttpResponse { statusOf(error), {}, error.message() + "\n" }, true);
+            return;
+        }
+        takeRequest();
+    }
+
+    void takeRequest()
+    {
+        m_timer.cancel();
+        ++m_timerTurn;
+        auto message = m_parser->release();
+        m_keepAlive = message.keep_alive();
+        m_request = HttpRequest();
+        m_request.m_method = std::string(view(message.method_string()));
+        m_request.m_target = std::string(view(message.target()));
+        for (const auto& field : message) {
+            const std::string_view name = view(field.name_string());
+            if (!isConnectionField(name))
+                m_request.m_fields.push_back({ std::string(name), std::string(view(field.value())) });
+        }
+        m_request.m_body = std::move(message.body());
+        m_request.m_receivedAt = monotonicNow();
+        m_request.m_newConnection = !m_served;
+        m_served = true;
+        m_state = State::Handling;
+        ++m_server->m_counters.m_requests;
+        ++m_server->m_counters.m_requestsInFlight;
+        watch();
+        const auto self = shared_from_this();
+        m_server->m_handler(self);
+    }
+
+    // Notices that the caller closes its side. Bytes of a next request are left unread.
+    void watch()
+    {
+        if (m_buffer.size() > 0)
+            return;
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+            if (error || self->m_state != State::Handling)
+                return;
+            char byte = 0;
+            const ssize_t count = ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR))
+                self->close();
+        });
+    }
+
+    void write(HttpResponse response, bool close)
+    {
+        m_state = State::Writing;
+        startTimer(writeTimeout);
+        m_out = headerOf(response, close, m_server->m_limits.m_idleTimeout);
+        m_body = std::move(response.m_body);
+        const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_out), asio::buffer(m_body) };
+        asio::async_write(m_socket, buffers, [self = shared_from_this(), close](error_code error, std::size_t) {
+            if (self->m_state != State::Writing)
+                return;
+            if (error)
+                self->close();
+            else if (close)
+                self->finishClosing();
+            else
+                self->readRequest();
+        });
+    }
+
+    // Waits for the caller's close: closing with unread bytes would reset the connection under the answer.
+    void finishClosing()
+    {
+        constexpr Milliseconds lingerTime { 500 };
+        error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        startTimer(lingerTime);
+        drain();
+    }
+
+    void drain()
+    {
+        constexpr std::size_t drainBytes = 4096;
+        m_buffer.consume(m_buffer.size());
+        m_socket.async_read_some(m_buffer.prepare(drainBytes), [self = shared_from_this()](error_code error, std::size_t) {
+            if (error || self->m_state != State::Writing)
+                self->close();
+            else
+                self->drain();
+        });
+    }
+
+    std::shared_ptr<Impl> m_server;
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::uint64_t m_timerTurn = 0;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    HttpRequest m_request;
+    std::function<void()> m_abandoned;
+    std::string m_out;
+    std::string m_body;
+    State m_state = State::Reading;
+    bool m_sawBytes = false;
+    bool m_keepAlive = false;
+    bool m_served = false;
+};
+
+bool HttpServer::Impl::start(const SocketAddress& address, Reason& reason)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(address.m_ip, error);
+    const tcp::endpoint endpoint(ip, address.m_port);
+    if (!error)
+        m_acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_acceptor.listen(listenBacklog, error);
+    if (error) {
+        reason = Reason { ResultCode::InvalidSettings, "cannot listen on " + address.text() + ": " + error.message() };
+        return false;
+    }
+    accept();
+    return true;
+}
+
+void HttpServer::Impl::accept()
+{
+    m_acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
+        if (self->m_stopped)
+            return;
+        if (error) {
+            FLAMINGO_LOG(Warning, "cannot accept a connection", { "reason", error.message() });
+            self->m_pause.expires_after(acceptPause);
+            self->m_pause.async_wait([self](error_code waited) {
+                if (!waited && !self->m_stopped)
+                    self->accept();
+            });
+            return;
+        }
+        ++self->m_counters.m_connectionsAccepted;
+        ++self->m_counters.m_connectionsOpen;
+        const auto connection = std::make_shared<Connection>(self, std::move(socket));
+        self->m_connections.insert(connection);
+        connection->run();
+        self->accept();
+    });
+}
+
+void HttpServer::Impl::stopAccepting()
+{
+    m_closing = true;
+    m_stopped = true;
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_pause.cancel();
+    const auto connections = m_connections;
+    for (const auto& connection : connections) {
+        if (connection->isIdle())
+            connection->close();
+    }
+}
+
+void HttpServer::Impl::stop()
+{
+    stopAccepting();
+    m_handler = nullptr;
+    const auto connections = m_connections;
+    for (const auto& connection : connections)
+        connection->close();
+}
+
+HttpServer::HttpServer(asio::io_context& io, HttpHandler handler)
+    : m_impl(std::make_shared<Impl>(io, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() { m_impl->stop(); }
+
+bool HttpServer::start(const SocketAddress& address, Reason& reason) { return m_impl->start(address, reason); }
+
+void HttpServer::setLimits(const CallerLimits& limits) { m_impl->m_limits = limits; }
+
+void HttpServer::announceClose() { m_impl->m_closing = true; }
+
+void HttpServer::stopAccepting() { m_impl->stopAccepting(); }
+
+const HttpServerCounters& HttpServer::counters() const { return m_impl->m_counters; }
+
+} // namespace flamingo
--- a/src/libflamingo/link/linkchannel.cpp
+++ b/src/libflamingo/link/linkchannel.cpp
@@ -75,12 +75,12 @@
         });
     m_connection->set_ping_handler([weak](const websocketpp::connection_hdl&, const std::string&) {
         if (const auto self = weak.lock())
-            self->m_lastHeard = std::chrono::steady_clock::now();
+            self->m_lastHeard = monotonicNow();
         return true;
     });
     m_connection->set_pong_handler([weak](const websocketpp::connection_hdl&, const std::string&) {
         if (const auto self = weak.lock())
-            self->m_lastHeard = std::chrono::steady_clock::now();
+            self->m_lastHeard = monotonicNow();
     });
     const auto ended = [weak](const websocketpp::connection_hdl&) {
         if (const auto self = weak.lock())
@@ -166,7 +166,7 @@
     if (m_finished)
         return;
     m_open = true;
-    m_lastHeard = m_lastPing = std::chrono::steady_clock::now();
+    m_lastHeard = m_lastPing = monotonicNow();
     scheduleTick();
     error_code error;
     const auto remote = socket().remote_endpoint(error);
@@ -181,7 +181,7 @@
         close(Reason { ResultCode::UnsupportedProtocol, "peer sent a text frame; links carry binary messages only" });
         return;
     }
-    m_lastHeard = std::chrono::steady_clock::now();
+    m_lastHeard = monotonicNow();
     m_events.m_message(std::move(message->get_raw_payload()));
 }
 
@@ -213,7 +213,7 @@
             "peer was silent for " + std::to_string(m_limits.m_silenceTimeout.count()) + " ms" });
         return;
     }
-    const MonotonicTime now = std::chrono::steady_clock::now();
+    const MonotonicTime now = monotonicNow();
     if (now - m_lastPing >= m_limits.m_pingInterval) {
         m_lastPing = now;
         try {
@@ -229,7 +229,7 @@
 
 bool LinkChannel::isSilent()
 {
-    if (std::chrono::steady_clock::now() - m_lastHeard < m_limits.m_silenceTimeout)
+    if (monotonicNow() - m_lastHeard < m_limits.m_silenceTimeout)
         return false;
     // The loop may have been blocked by a slow disk, or be in the middle of a large message. The
     // kernel knows when the last data arrived.
--- a/src/libflamingo/link/tests/linktest.cpp
+++ b/src/libflamingo/link/tests/linktest.cpp
@@ -68,9 +68,9 @@
 
     bool runUntil(const std::function<bool()>& done, bool runServer = true, std::chrono::milliseconds limit = 20s)
     {
-        const auto end = std::chrono::steady_clock::now() + limit;
+        const auto end = monotonicNow() + limit;
         while (!done()) {
-            if (std::chrono::steady_clock::now() > end)
+            if (monotonicNow() > end)
                 return false;
             std::size_t handled = m_clientLoop.poll();
             if (runServer)
--- a/src/libflamingo/routing/routingstate.cpp
+++ b/src/libflamingo/routing/routingstate.cpp
@@ -85,6 +85,11 @@
         return std::nullopt;
     // Ids grow with time, so the smallest one among the heads has waited longest.
     std::optional<ExecutionId> oldest;
+    if (route.m_routed) {
+        const auto queue = service->second.m_waiting.find({});
+        if (queue != service->second.m_waiting.end())
+            oldest = queue->second.front();
+    }
     for (const ShardHolding& holding : route.m_holdings) {
         const auto queue = service->second.m_waiting.find({ holding.m_version, holding.m_layout, holding.m_shard });
         if (queue != service->second.m_waiting.end() && (!oldest || queue->second.front() < *oldest))
--- a/src/libflamingo/routing/routingtable.cpp
+++ b/src/libflamingo/routing/routingtable.cpp
@@ -130,6 +130,9 @@
         route.m_connections = std::min(route.m_connections, definition.m_connectionsPerEndpoint);
         route.m_slots = std::min(route.m_slots, std::max(definition.m_slotsPerEndpoint, 1U));
     }
+    const auto routed = table.m_routedConnections.find(record.m_service);
+    if (record.m_routed && routed != table.m_routedConnections.end())
+        route.m_connections = std::min(route.m_connections, routed->second);
     route.m_shareGeneration = 0;
 }
 
@@ -179,6 +182,7 @@
     route.m_holdings = distinctHoldings(record.m_holdings);
     route.m_draining = record.m_draining || state.m_operatorDrains.count(record.m_id) > 0;
     route.m_present = true;
+    route.m_routed = record.m_routed;
     refreshBounds(table, route, record);
     table.m_members[route.m_service].push_back(index);
     link(table, index);
@@ -201,6 +205,15 @@
     }
 }
 
+void upsertRoutedService(RoutingTable& table, const PublishedState& state, const RoutedService& service)
+{
+    const auto [position, added] = table.m_routedConnections.try_emplace(service.m_name);
+    if (!added && position->second == service.m_connectionsPerEndpoint)
+        return;
+    position->second = service.m_connectionsPerEndpoint;
+    relinkService(table, state, service.m_name);
+}
+
 bool upsertLayout(RoutingTable& table, const SnapshotLayout& layout)
 {
     const auto service = table.m_services.find(layout.m_key.m_service);
@@ -302,6 +315,11 @@
     void operator()(const ErasedLayout& erased) { eraseLayout(m_table, erased.m_layout); }
     void operator()(const ErasedVm&) { m_vmsChanged = true; }
     void operator()(const ErasedQuarantine&) { }
+    void operator()(const RouteHeader&) { }
+    void operator()(const Route&) { }
+    void operator()(const ErasedRoute&) { }
+    void operator()(const RoutedService& service) { upsertRoutedService(m_table, m_state, service); }
+    void operator()(const ErasedRoutedService& erased) { m_table.m_routedConnections.erase(erased.m_service); }
     void operator()(const OperatorDrainChange& change)
     {
         const auto position = m_table.m_positions.find(change.m_endpoint);
@@ -338,6 +356,9 @@
         relinkService(table, state, name);
     for (const auto& [id, record] : state.m_endpoints)
         upsertEndpoint(table, state, record, arrived);
+    table.m_routedConnections.clear();
+    for (const auto& [name, service] : state.m_routedServices)
+        upsertRoutedService(table, state, service);
     eraseGone(table, state);
     refreshVms(table, state);
     finish(table, state);
--- a/src/libflamingo/routing/routingtable.h
+++ b/src/libflamingo/routing/routingtable.h
@@ -26,6 +26,7 @@
     Incarnation m_incarnation;
     Revision m_registeredIn;
     std::vector<ShardHolding> m_holdings;
+    bool m_routed = false; // serves requests of routes
     std::uint32_t m_slots = 1;
     std::uint32_t m_connections = 1; // from the whole system
     std::uint32_t m_share = 0; // this daemon's part of the connections, as of m_shareGeneration
@@ -66,6 +67,7 @@
     std::unordered_map<EndpointId, EndpointIndex> m_positions;
     std::unordered_map<ServiceName, std::vector<EndpointIndex>> m_members; // by the service that endpoints name
     std::map<ServiceName, ServiceRoutes> m_services;
+    std::unordered_map<ServiceName, std::uint32_t> m_routedConnections; // accepted by each endpoint of the service
     std::uint64_t m_layoutsSeen = 0;
     std::uint64_t m_vmHash = 0; // of this daemon's name
     std::vector<std::uint64_t> m_vmHashes; // of admitted VMs, those that left lately included
--- a/src/libflamingo/settings/settingsreader.cpp
+++ b/src/libflamingo/settings/settingsreader.cpp
@@ -22,20 +22,24 @@
 // An answer of an endpoint may hold as much.
 constexpr std::uint64_t largestBody = 4ULL * 1024 * 1024;
 constexpr Milliseconds longestGrace { 3600000 };
+constexpr Milliseconds shortestLimit { 1000 };
+constexpr Milliseconds shortestHeartbeat { 100 };
 
 void readRoles(SettingsSection& root, Settings& settings, SettingsErrors& errors)
 {
-    const std::string allowed = "a list of entry, control";
+    const std::string allowed = "a list of entry, control, routes";
     for (const YAML::Node& role : root.list("roles")) {
         const std::string name = role.IsScalar() ? role.Scalar() : "";
         if (name == "entry")
             settings.m_entryRole = true;
         else if (name == "control")
             settings.m_controlRole = true;
+        else if (name == "routes")
+            settings.m_routesRole = true;
         else
             errors.add(role.Mark(), "roles", "'" + name + "'", allowed);
     }
-    if (!settings.m_entryRole && !settings.m_controlRole)
+    if (!settings.m_entryRole && !settings.m_controlRole && !settings.m_routesRole)
         root.error("roles", "no role", allowed);
 }
 
@@ -57,6 +61,36 @@
     section.finish();
 }
 
+void readRoutes(SettingsSection section, const Settings& settings, RoutesSettings& routes)
+{
+    if (section.isPresent() != settings.m_routesRole)
+        section.error("", "a section without its role or a role without its section", "both or none of them");
+    if (settings.m_routesRole) {
+        section.require("listen", "the address for callers");
+        section.require("health", "the address for the load balancer's probes");
+    }
+    section.address("listen", routes.m_listen);
+    section.address("health", routes.m_health);
+    section.duration("stale_limit", shortestLimit, longestGrace, routes.m_staleLimit);
+    section.duration("drain_wait", Milliseconds(0), longestGrace, routes.m_drainWait);
+    section.fraction("extra_load_share", routes.m_extraLoadShare);
+    section.number("extra_load_calls", 0U, largestCount, routes.m_extraLoadCalls);
+    section.finish();
+}
+
+void readSeeds(SettingsSection section, SeedSettings& seeds, SettingsErrors& errors)
+{
+    for (const YAML::Node& node : section.list("addresses")) {
+        const std::string text = node.IsScalar() ? node.Scalar() : "";
+        if (auto address = detail::parseSocketAddress(text))
+            seeds.m_addresses.push_back(std::move(*address));
+        else
+            errors.add(node.Mark(), "seeds.addresses", "'" + text + "'", "an IP address and a port");
+    }
+    section.port("link_port", seeds.m_linkPort);
+    section.finish();
+}
+
 void readMembers(SettingsSection& section, ControlSettings& control, SettingsErrors& errors)
 {
     std::set<std::string> vms;
@@ -87,6 +121,8 @@
     section.text("data_folder", control.m_dataFolder);
     readMembers(section, control, errors);
     section.flag("bootstrap", control.m_bootstrap);
+    section.address("api", control.m_api);
+    section.duration("endpoint_heartbeat", shortestHeartbeat, longestGrace, control.m_endpointHeartbeat);
     section.finish();
     if (!settings.m_controlRole) {
         if (section.isPresent())
@@ -96,6 +132,8 @@
     if (control.m_dataFolder.empty() || control.m_dataFolder.front() != '/')
         section.error("data_folder", "'" + control.m_dataFolder + "'", "the absolute path of a folder on a disk");
     const auto count = control.m_members.size();
+    if (count == 0 && !settings.m_seeds.m_addresses.empty())
+        return;
     if (count != 1 && count != 3 && count != 5)
         section.error("members", std::to_string(count) + " members", "3 or 5 members (1 for a trial)");
     if (count == 1)
@@ -118,11 +156,16 @@
             errors.add(
                 node.Mark(), "control_addresses", "'" + text + "'", "an IP address and a port, such as 10.0.0.1:8401");
     }
+    if (settings.m_controlAddresses.empty()) {
+        for (const SocketAddress& seed : settings.m_seeds.m_addresses)
+            settings.m_controlAddresses.push_back({ seed.m_ip, settings.m_seeds.m_linkPort });
+    }
     if (settings.m_controlAddresses.empty()) {
         for (const ControlMember& member : settings.m_control.m_members)
             settings.m_controlAddresses.push_back(member.m_address);
     }
-    if (settings.m_entryRole && !settings.m_controlRole && settings.m_controlAddresses.empty())
+    const bool needsControl = settings.m_entryRole || settings.m_routesRole;
+    if (needsControl && !settings.m_controlRole && settings.m_controlAddresses.empty())
         root.error("control_addresses", "nothing", "the addresses of the control members, or the role control");
 }
 
@@ -143,6 +186,9 @@
     settings.m_dataCentre = DataCentreName(dataCentre);
     readRoles(root, settings, errors);
     readEntry(root.section("entry"), settings, settings.m_entry);
+    readSeeds(root.section("seeds"), settings.m_seeds, errors);
+    readRoutes(root.section("routes"), settings, settings.m_routes);
+    root.address("metrics", settings.m_metrics);
     readControl(root.section("control"), settings, errors, warnings);
     readControlAddresses(root, settings, errors);
 
--- a/src/libflamingo/settings/settingssection.cpp
+++ b/src/libflamingo/settings/settingssection.cpp
@@ -197,6 +197,20 @@
         error(key, "'" + *found + "'", allowed);
 }
 
+void SettingsSection::fraction(const std::string& key, double& target)
+{
+    const std::string allowed = "a number from 0 to 1";
+    const auto found = scalar(key, allowed);
+    if (!found)
+        return;
+    char* end = nullptr;
+    const double value = std::strtod(found->c_str(), &end);
+    if (end == found->c_str() + found->size() && !found->empty() && value >= 0.0 && value <= 1.0)
+        target = value;
+    else
+        error(key, "'" + *found + "'", allowed);
+}
+
 void SettingsSection::ip(const std::string& key, std::string& target)
 {
     const std::string allowed = "an IP address";
--- a/src/libflamingo/settings/settingssection.h
+++ b/src/libflamingo/settings/settingssection.h
@@ -49,6 +49,7 @@
     void port(const std::string& key, std::uint16_t& target);
     void duration(const std::string& key, Milliseconds low, Milliseconds high, Milliseconds& target);
     void size(const std::string& key, std::uint64_t low, std::uint64_t high, std::uint64_t& target);
+    void fraction(const std::string& key, double& target);
     void ip(const std::string& key, std::string& target);
     void address(const std::string& key, SocketAddress& target);
 
