--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include "control/controlservice.h"
 #include "daemon/refusedanswer.h"
 
+#include <algorithm>
 #include <random>
 
 namespace flamingo {
@@ -89,7 +90,10 @@
     role.m_member.m_openMembership = hasSeeds;
     role.m_member.m_address = ownControlAddress(m_settings);
     role.m_member.m_initialMembers = initialMembers(m_settings);
-    role.m_member.m_bootstrapAllowed = m_settings.m_control.m_bootstrap;
+    // Without a list of members, a control VM that is no seed joins the cluster that the seeds form.
+    const bool isInitial = std::any_of(role.m_member.m_initialMembers.begin(), role.m_member.m_initialMembers.end(),
+        [&](const InitialMember& member) { return member.m_vm == role.m_member.m_vm; });
+    role.m_member.m_bootstrapAllowed = m_settings.m_control.m_bootstrap && (isInitial || !hasSeeds);
     role.m_member.m_seed = randomNumber();
     role.m_service.m_endpointTtl = m_settings.m_control.m_endpointHeartbeat * heartbeatsMissed;
     role.m_service.m_removalBatchDelay
