Place calls by the expected time to an answer; reopen the log after a disk error

An endpoint is now chosen by its latency seen lately, its calls in flight, and the share of calls it refused or failed; what was seen fades with a half-life of 2 s. Hedges leave a part of the budget to retries. No hedge is sent at the deadline.

Leases and all other points in time use a clock that counts a suspension of the VM.

--- a/bench/load/baselinerun.cpp
+++ b/bench/load/baselinerun.cpp
@@ -96,7 +96,7 @@
             --result.m_endpointRequests;
         if (--progress.m_open > 0)
             return;
-        const auto elapsed = std::chrono::steady_clock::now() - m_loop.intended(index);
+        const auto elapsed = monotonicNow() - m_loop.intended(index);
         result.m_latency = std::chrono::duration_cast<Microseconds>(elapsed);
         result.m_coverage = double(progress.m_answered) / double(result.m_shards);
         result.m_code = progress.m_answered > 0 ? "Ok" : "NoAnswer";
--- a/bench/load/daemonrun.cpp
+++ b/bench/load/daemonrun.cpp
@@ -93,7 +93,7 @@
     void finish(const std::shared_ptr<Connection>& connection, std::size_t index, const std::string& body, bool keep)
     {
         Measurement& result = m_results[index];
-        const auto elapsed = std::chrono::steady_clock::now() - m_loop.intended(index);
+        const auto elapsed = monotonicNow() - m_loop.intended(index);
         result.m_latency = std::chrono::duration_cast<Microseconds>(elapsed);
         readAnswer(body, result);
         if (keep)
@@ -150,7 +150,7 @@
 {
     m_index = index;
     m_request = std::move(request);
-    m_stream.expires_at(m_run.deadlineOf(index));
+    m_stream.expires_after(m_run.deadlineOf(index) - monotonicNow());
     if (m_connected)
         return write();
     m_stream.async_connect(address, [self = shared_from_this()](error_code error) {
--- a/bench/load/openloop.h
+++ b/bench/load/openloop.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "base/monotonictimer.h"
+
 #include "load/measurement.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 
@@ -23,7 +24,7 @@
 
     void start()
     {
-        m_startedAt = std::chrono::steady_clock::now();
+        m_startedAt = monotonicNow();
         schedule();
     }
 
@@ -38,7 +39,7 @@
         m_timer.async_wait([this](const boost::system::error_code& error) {
             if (error)
                 return;
-            while (m_next < m_plan.size() && intended(m_next) <= std::chrono::steady_clock::now())
+            while (m_next < m_plan.size() && intended(m_next) <= monotonicNow())
                 m_sender(m_next++);
             schedule();
         });
@@ -46,7 +47,7 @@
 
     const std::vector<PlannedQuery>& m_plan;
     QuerySender m_sender;
-    boost::asio::steady_timer m_timer;
+    MonotonicTimer m_timer;
     MonotonicTime m_startedAt;
     std::size_t m_next = 0;
 };
--- a/bench/policy/policycost.cpp
+++ b/bench/policy/policycost.cpp
@@ -42,15 +42,15 @@
 
 double microsecondsOf(const std::function<void()>& work, unsigned rounds)
 {
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = monotonicNow();
     for (unsigned i = 0; i < rounds; ++i)
         work();
-    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start).count() / rounds;
+    return std::chrono::duration<double, std::micro>(monotonicNow() - start).count() / rounds;
 }
 
 void measure(unsigned endpoints)
 {
-    const MonotonicTime now = std::chrono::steady_clock::now();
+    const MonotonicTime now = monotonicNow();
     auto state = std::make_shared<PublishedState>(bench::stateOf(endpoints));
     RoutingSettings settings;
     settings.m_vm = VmId("vm1");
--- a/bench/policy/querycost.cpp
+++ b/bench/policy/querycost.cpp
@@ -103,7 +103,7 @@
                 settings.m_vm = VmId("vm1");
                 settings.m_dataCentre = DataCentreName("a");
                 RoutingState routing = makeRoutingState(settings);
-                applyPublishedState(routing, std::make_shared<PublishedState>(state), Clock::now());
+                applyPublishedState(routing, std::make_shared<PublishedState>(state), monotonicNow());
                 const std::string body = bodyWith(hits);
                 const double cost = queryCost(routing, service, body, 40000 / shards);
                 std::printf("step query,%u,%u,%zu,%.1f,%.2f\n", shards, endpoints, hits, cost, cost / shards);
--- a/src/flamingoctl/httpexchange.cpp
+++ b/src/flamingoctl/httpexchange.cpp
@@ -52,7 +52,7 @@
             m_result.m_text = error.message();
             return m_result;
         }
-        m_stream.expires_at(std::min(m_deadline, std::chrono::steady_clock::now() + connectTimeout));
+        m_stream.expires_after(std::min<MonotonicClock::duration>(m_deadline - monotonicNow(), connectTimeout));
         m_stream.async_connect(addresses, [this](error_code result, const auto&) {
             if (result)
                 m_result.m_text = "connecting failed: " + result.message();
@@ -67,7 +67,7 @@
     void write()
     {
         m_result.m_outcome = ExchangeOutcome::NoAnswer;
-        m_stream.expires_at(m_deadline);
+        m_stream.expires_after(m_deadline - monotonicNow());
         http::async_write(m_stream, m_request, [this](error_code error, std::size_t) {
             if (error)
                 m_result.m_text = "sending failed: " + error.message();
--- a/src/flamingoctl/statementrunner.cpp
+++ b/src/flamingoctl/statementrunner.cpp
@@ -65,7 +65,7 @@
 
 Answer StatementRunner::run(const Statement& statement)
 {
-    const MonotonicTime deadline = std::chrono::steady_clock::now() + m_options.m_timeout;
+    const MonotonicTime deadline = monotonicNow() + m_options.m_timeout;
     const std::string body = requestBody(statement);
     std::optional<Answer> refusal;
     m_mayHaveRun = false;
@@ -89,7 +89,7 @@
         if (!m_mayHaveRun || !isChange(statement))
             break;
         std::this_thread::sleep_for(resendPause);
-    } while (std::chrono::steady_clock::now() < deadline);
+    } while (monotonicNow() < deadline);
     // A refusal by one daemon does not tell whether the attempt at another was run.
     if (m_mayHaveRun && isChange(statement)) {
         return localAnswer(ResultCode::CommandOutcomeUnknown,
@@ -135,7 +135,7 @@
     const std::string target = "/v1/commands/" + std::to_string(answer.m_revision) + "?wait_ms=";
     std::string shown;
     while (!answer.m_inForce && answer.m_revision != 0) {
-        const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - std::chrono::steady_clock::now());
+        const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - monotonicNow());
         if (remaining.count() <= 0) {
             return localAnswer(ResultCode::StillRunning,
                 "accepted at revision " + std::to_string(answer.m_revision) + ", but not yet in force everywhere"
@@ -143,7 +143,7 @@
         }
         const Milliseconds wait = std::min(remaining, longestPoll);
         const ExchangeResult result = exchange(m_options.m_servers[m_server], "GET",
-            target + std::to_string(wait.count()), "", std::chrono::steady_clock::now() + wait + pollMargin);
+            target + std::to_string(wait.count()), "", monotonicNow() + wait + pollMargin);
         const auto status = result.m_outcome == ExchangeOutcome::Answered ? parseAnswer(result.m_body) : std::nullopt;
         if (!status || status->m_code != 0) {
             std::fprintf(stderr, "%s: %s\n", m_options.m_servers[m_server].c_str(),
--- a/src/libflamingo/consensus/raftelection.cpp
+++ b/src/libflamingo/consensus/raftelection.cpp
@@ -105,6 +105,12 @@
     state.m_electionDeadline = now + randomBetween(state, timeout + state.m_options.m_heartbeat, timeout * 2);
 }
 
+void setStartDeadline(RaftState& state, MonotonicTime now)
+{
+    const Microseconds heartbeat = state.m_options.m_heartbeat;
+    state.m_electionDeadline = now + randomBetween(state, heartbeat * 2, heartbeat * 4);
+}
+
 void becomeFollower(RaftState& state, Term term, const MemberId& leader, MonotonicTime now, Effects& effects)
 {
     if (term > state.m_term) {
--- a/src/libflamingo/consensus/raftinternal.h
+++ b/src/libflamingo/consensus/raftinternal.h
@@ -11,6 +11,11 @@
 
 // Election (raftelection.cpp)
 void resetElectionDeadline(RaftState& state, MonotonicTime now);
+/**
+ * Sets the first deadline of a process that has just started. It is short: after a restart of all members none has a
+ * leader, and where one works the others refuse the pre-vote.
+ */
+void setStartDeadline(RaftState& state, MonotonicTime now);
 void becomeFollower(RaftState& state, Term term, const MemberId& leader, MonotonicTime now, Effects& effects);
 void startPreVote(RaftState& state, MonotonicTime now, Effects& effects);
 void handleVoteRequest(RaftState&, const RaftMessage&, const VoteRequest&, MonotonicTime now, Effects&);
--- a/src/libflamingo/consensus/raftstep.cpp
+++ b/src/libflamingo/consensus/raftstep.cpp
@@ -20,7 +20,7 @@
     state.m_log = std::move(log);
     state.m_commit = state.m_log.m_snapshot.m_index;
     state.m_applied = state.m_commit;
-    resetElectionDeadline(state, now);
+    setStartDeadline(state, now);
     return state;
 }
 
--- a/src/libflamingo/control/controlclient.cpp
+++ b/src/libflamingo/control/controlclient.cpp
@@ -42,7 +42,9 @@
     m_reason = std::move(reason);
     abandonLink();
     const int doublings = std::min(m_failures++, 10);
-    const Milliseconds backoff = std::min(firstBackoff * (1 << doublings), maximumBackoff);
+    const bool starting = state()->m_revision == Revision() && m_failures <= startingTries;
+    const Milliseconds longest = starting ? maximumStartingBackoff : maximumBackoff;
+    const Milliseconds backoff = std::min(firstBackoff * (1 << doublings), longest);
     // Between half and the whole backoff, so that VMs that lost the same leader spread out.
     const double factor = 0.5 + 0.5 * m_ports.m_random();
     m_retryAt = now + std::chrono::duration_cast<Microseconds>(backoff * factor);
--- a/src/libflamingo/control/controlclient.h
+++ b/src/libflamingo/control/controlclient.h
@@ -44,6 +44,9 @@
     static constexpr Milliseconds connectTimeout { 1000 };
     static constexpr Milliseconds firstBackoff { 50 };
     static constexpr Milliseconds maximumBackoff { 1000 };
+    // A VM without a state cannot serve, and looks for a leader more often for a second or two.
+    static constexpr Milliseconds maximumStartingBackoff { 100 };
+    static constexpr int startingTries = 16;
     // Settlements of claims are sent again until this long after they were submitted, also when
     // nobody waits for the result any more: an open claim blocks its request.
     static constexpr Milliseconds settlePersistence { 60000 };
--- a/src/libflamingo/control/tests/commandmaker.h
+++ b/src/libflamingo/control/tests/commandmaker.h
@@ -86,6 +86,24 @@
     return { ServiceName("orders"), requestId(token), VmId(vm), Incarnation(1), outcome, "{\"bill\":1}", run, 0 };
 }
 
+/** A configuration of that version with some routes to one service. */
+inline ReplaceRoutes routes(int version, int count)
+{
+    ReplaceRoutes command;
+    command.m_configuration.m_header.m_version = ConfigurationVersion(static_cast<std::uint64_t>(version));
+    command.m_configuration.m_services.push_back({ ServiceName("orders"), "/health", 10 });
+    for (int number = 0; number < count; ++number) {
+        Route route;
+        route.m_name = "route" + std::to_string(number);
+        route.m_key = { "host.example", "/" + route.m_name + "/" };
+        route.m_timeout = Milliseconds(100 * version);
+        route.m_targets.push_back({ ServiceName("orders"), 1.0 });
+        command.m_configuration.m_routes.push_back(std::move(route));
+    }
+    command.m_document = "version " + std::to_string(version);
+    return command;
+}
+
 /** Generates commands over few names, so that they meet each other often. */
 inline rc::Gen<Command> anyCommand()
 {
@@ -120,8 +138,8 @@
             SettleClaim { ServiceName(service), request, VmId(vm), Incarnation(incarnation),
                 static_cast<ClaimOutcome>(pick(3)), "answer", run, static_cast<std::uint64_t>(pick(3)) },
             ReportDeath { EndpointId(name), Incarnation(incarnation), ServiceName(service), { fingerprint } },
-            ClearSuspect { fingerprint } };
-        static_assert(std::variant_size_v<CommandBody> == 17);
+            ClearSuspect { fingerprint }, routes(1 + pick(5), pick(3)) };
+        static_assert(std::variant_size_v<CommandBody> == 18);
         // Services and endpoints come first more often, so that the other commands find something.
         const int index = pick(2) == 0 ? pick(static_cast<int>(bodies.size())) : (pick(3) == 0 ? 1 : 7);
         command.m_body = bodies[static_cast<std::size_t>(index)];
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -58,6 +58,28 @@
         m_api->stopAccepting();
 }
 
+void ControlRole::closeMember()
+{
+    m_api.reset();
+    m_member.reset();
+}
+
+// Opening the log anew drops what a failed write has left behind, as a restart of the process would.
+void ControlRole::reopenIfFailed(MonotonicTime now)
+{
+    if ((m_member && !m_member->failed()) || now < m_reopenAt)
+        return;
+    m_reopenAt = now + reopenInterval;
+    closeMember();
+    Reason reason;
+    if (openMember(now, reason)) {
+        FLAMINGO_LOG(Info, "log opened again", { "member", m_member->id().value() });
+        return;
+    }
+    FLAMINGO_LOG(Warning, "cannot open the log", { "reason", reason.m_text });
+    closeMember();
+}
+
 // A VM that was cut off for long may find that a replacement has taken over its vote. Its log counts no more, so that
 // it starts with an empty data folder under a new member id.
 void ControlRole::rejoinIfRemoved(MonotonicTime now)
@@ -66,8 +88,7 @@
         return;
     FLAMINGO_LOG(Warning, "removed from the log; rejoining with an empty data folder",
         { "member", m_member->id().value() });
-    m_api.reset();
-    m_member.reset();
+    closeMember();
     std::error_code error;
     std::filesystem::remove_all(m_settings.m_member.m_folder, error);
     Reason reason { ResultCode::StorageFailed, "cannot empty the data folder: " + error.message() };
@@ -140,6 +161,7 @@
 
 void ControlRole::tick(MonotonicTime now)
 {
+    reopenIfFailed(now);
     if (!m_member)
         return;
     m_member->tick(now);
@@ -194,6 +216,11 @@
 
 void ControlRole::fail(const Reason& reason)
 {
+    if (reason.m_code == ResultCode::StorageFailed) {
+        FLAMINGO_LOG(Error, "log storage failed; opening it again soon", { "reason", reason.m_text });
+        m_reopenAt = monotonicNow() + reopenInterval;
+        return;
+    }
     FLAMINGO_LOG(Error, "control role stopped", { "code", std::to_string(static_cast<int>(reason.m_code)) },
         { "reason", reason.m_text });
     if (m_failed)
--- a/src/libflamingo/daemon/controlrole.h
+++ b/src/libflamingo/daemon/controlrole.h
@@ -48,7 +48,10 @@
  */
 class ControlRole {
 public:
-    /** The failure handler is called once if the role cannot go on, for example because the disk is full. */
+    // After an error of the disk the log is opened again at this interval: a full disk may be cleared.
+    static constexpr Milliseconds reopenInterval { 1000 };
+
+    /** The failure handler is called once if the role cannot go on. A disk that refuses writes is no such case. */
     ControlRole(boost::asio::io_context& io, ControlRoleSettings settings, std::function<void(const Reason&)> failed);
     ~ControlRole();
     ControlRole(const ControlRole&) = delete;
@@ -63,7 +66,9 @@
     /** Closes the port and the links. Nothing is called back afterwards. */
     void stop();
 
-    /** Returns the member of the replicated log. Precondition: start() succeeded. */
+    /** Returns whether the log is open; it is not while its disk refuses writes. */
+    bool isOpen() const { return m_member != nullptr; }
+    /** Returns the member of the replicated log. Precondition: isOpen(). */
     const ConsensusMember& member() const { return *m_member; }
     /** Returns the replicated state's service. Precondition: start() succeeded. */
     const ControlService& service() const { return *m_service; }
@@ -78,6 +83,8 @@
     void fail(const Reason& reason);
     bool openMember(MonotonicTime now, Reason& reason);
     void rejoinIfRemoved(MonotonicTime now);
+    void closeMember();
+    void reopenIfFailed(MonotonicTime now);
     AdminReply administer(const AdminRequest& request);
 
     boost::asio::io_context& m_io;
@@ -90,6 +97,7 @@
     std::unique_ptr<ControlApi> m_api;
     std::map<LinkId, bool> m_links; // whether the link is one of an entry VM
     bool m_stopped = false;
+    MonotonicTime m_reopenAt {};
 };
 
 } // namespace flamingo
--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -231,7 +231,10 @@
 std::string Daemon::metrics()
 {
     m_entry->collectMetrics();
-    m_control.withRole([this](ControlRole& role) { m_metrics.recordControl(role.member(), role.service()); });
+    m_control.withRole([this](ControlRole& role) {
+        if (role.isOpen())
+            m_metrics.recordControl(role.member(), role.service());
+    });
     return m_metrics.text();
 }
 
--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -25,11 +25,7 @@
 
 ForwardState makeState(const Settings& settings)
 {
-    ForwardState state;
-    RoutingSettings routing;
-    routing.m_vm = settings.m_vm;
-    routing.m_dataCentre = settings.m_dataCentre;
-    state.m_routing = makeRoutingState(routing);
+    ForwardState state = makeForwardState(settings.m_vm, settings.m_dataCentre);
     state.m_settings.m_extraLoadShare = settings.m_routes.m_extraLoadShare * extraLoadUsed;
     state.m_settings.m_extraLoadCalls = settings.m_routes.m_extraLoadCalls * extraLoadUsed;
     state.m_random.seed(std::random_device {}());
@@ -188,7 +184,9 @@
     answer.m_id = id;
     answer.m_code = code;
     answer.m_text = text;
-    answer.m_retryAfter = m_state.m_settings.m_shortestRetryAfter;
+    const bool waitsForControl = code == ResultCode::NoConfiguration || code == ResultCode::NoLease;
+    answer.m_retryAfter
+        = waitsForControl ? m_state.m_settings.m_controlRetryAfter : m_state.m_settings.m_shortestRetryAfter;
     exchange.respond(m_protocol.m_writeAnswer(std::move(answer)));
 }
 
--- a/src/libflamingo/forward/forwardanswer.h
+++ b/src/libflamingo/forward/forwardanswer.h
@@ -29,7 +29,7 @@
     std::vector<std::string> m_receipts; // of the endpoints whose answers are contained
     std::uint32_t m_shards = 0;
     std::uint32_t m_missingShards = 0;
-    Milliseconds m_retryAfter { 0 }; // of a refusal
+    Milliseconds m_retryAfter { 100 }; // of a refusal
     std::uint32_t m_calls = 0; // to endpoints, hedges and retries included
 };
 
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -1,6 +1,7 @@
 #include "forward/forwardexecution.h"
 
 #include "forward/forwardfinish.h"
+#include "forward/placement.h"
 
 #include <algorithm>
 
@@ -141,7 +142,7 @@
         }
         // Only calls that reached an endpoint count as load, and a first call is none beyond the request.
         const bool extra = part.m_mayHaveRun + part.m_refused > 0;
-        if (extra && !spendExtraLoad(forwardStats(m_state, part.m_service).m_budget)) {
+        if (extra && !mayAddLoad(part, kind)) {
             giveUp(part, kind);
             return;
         }
@@ -154,17 +155,23 @@
         const auto& members = m_state.m_routing.m_table.m_members;
         const auto found = members.find(part.m_service);
         const std::vector<EndpointIndex>& replicas = found == members.end() ? none : found->second;
-        const ProbeUse probes = kind == CallKind::Hedge ? ProbeUse::Never
-            : mayRepeat()                               ? ProbeUse::Allowed
-                                                        : ProbeUse::Harmless;
-        EndpointChoice choice = chooseEndpoint(
-            m_state.m_routing, ChoiceRequest { replicas, part.m_tried, probes }, m_state.m_random, m_now);
-        if (choice.m_endpoint || kind == CallKind::Hedge || part.m_tried.empty() || choice.m_busy)
+        const bool hedge = kind == CallKind::Hedge;
+        const PlacementRequest request { m_route, replicas, part.m_tried, hedge };
+        EndpointChoice choice = placeCall(m_state, request, m_now);
+        if (choice.m_endpoint || hedge || part.m_tried.empty() || choice.m_busy)
             return choice;
         // All others have failed too, so that one that was tried may be asked once more.
         part.m_tried.clear();
-        return chooseEndpoint(
-            m_state.m_routing, ChoiceRequest { replicas, part.m_tried, probes }, m_state.m_random, m_now);
+        return placeCall(m_state, request, m_now);
+    }
+
+    // Hedges leave a part of the budget to retries, without which a request fails.
+    bool mayAddLoad(const ForwardPart& part, CallKind kind)
+    {
+        ExtraLoadBudget& budget = forwardStats(m_state, part.m_service).m_budget;
+        if (kind == CallKind::Hedge && budget.m_tokens < 1.0 + budget.m_burst * m_state.m_settings.m_retryReserve)
+            return false;
+        return spendExtraLoad(budget);
     }
 
     void giveUp(ForwardPart& part, CallKind kind)
@@ -304,6 +311,10 @@
 ForwardEffects forwardTimer(ForwardState& state, ForwardExecution& execution, MonotonicTime now)
 {
     Step step(state, execution, now);
+    // An answer that is due needs no further calls.
+    ForwardEffects effects = step.finish();
+    if (effects.m_answer)
+        return effects;
     step.timer();
     return step.finish();
 }
--- a/src/libflamingo/forward/forwardsettings.h
+++ b/src/libflamingo/forward/forwardsettings.h
@@ -10,6 +10,7 @@
     // requests for it, and beside it a number for the whole system in each window, divided among the entry VMs.
     double m_extraLoadShare = 0.15;
     double m_extraLoadCalls = 60.0;
+    double m_retryReserve = 0.3; // share of the calls at hand that hedges leave to retries
 
     // A hedge is due when a call has run longer than this share of the route's calls do, but neither sooner nor,
     // as a share of the route's goal, later than these bounds: queueing must not teach it to wait.
@@ -26,6 +27,8 @@
     Milliseconds m_deadlineReserve { 15 };
 
     Milliseconds m_shortestRetryAfter { 100 }; // in a refusal
+    // In a refusal for want of a configuration: a control leader is elected within about this time.
+    Milliseconds m_controlRetryAfter { 1000 };
     // Refusals by endpoints that one shard of a request may meet before it is given up.
     unsigned m_refusalsBorne = 3;
 };
--- a/src/libflamingo/forward/forwardstate.cpp
+++ b/src/libflamingo/forward/forwardstate.cpp
@@ -8,6 +8,9 @@
 
 // Samples of a route below which its own distribution says little.
 constexpr std::uint64_t samplesForHedgeDelay = 40;
+// Three calls show that an endpoint has become slow, and a few seconds without calls that it may have recovered.
+constexpr double latencyWeight = 0.3;
+constexpr Milliseconds memoryHalfLife { 2000 };
 
 void replaceRoutes(ForwardState& state, const PublishedState& published)
 {
@@ -34,6 +37,18 @@
 
 } // namespace
 
+ForwardState makeForwardState(const VmId& vm, const DataCentreName& dataCentre)
+{
+    ForwardState state;
+    RoutingSettings routing;
+    routing.m_vm = vm;
+    routing.m_dataCentre = dataCentre;
+    routing.m_latencyWeight = latencyWeight;
+    routing.m_memoryHalfLife = memoryHalfLife;
+    state.m_routing = makeRoutingState(routing);
+    return state;
+}
+
 void applyForwardState(ForwardState& state, std::shared_ptr<const PublishedState> published, MonotonicTime now,
     const std::vector<Change>* changes)
 {
@@ -52,8 +67,9 @@
     const double vms = std::max<double>(1.0, double(state.m_routing.m_table.m_vmHashes.size()));
     stats.m_budget.m_fraction = state.m_settings.m_extraLoadShare;
     // A VM must be able to send one extra call, however many VMs share the number.
-    stats.m_budget.m_burst = std::max(1.0, state.m_settings.m_extraLoadCalls / vms);
-    stats.m_budget.m_tokens = std::min(stats.m_budget.m_tokens, stats.m_budget.m_burst);
+    const double burst = std::max(1.0, state.m_settings.m_extraLoadCalls / vms);
+    stats.m_budget.m_tokens = std::clamp(stats.m_budget.m_tokens + burst - stats.m_budget.m_burst, 0.0, burst);
+    stats.m_budget.m_burst = burst;
     return stats;
 }
 
--- a/src/libflamingo/forward/forwardstate.h
+++ b/src/libflamingo/forward/forwardstate.h
@@ -21,6 +21,9 @@
     RandomEngine m_random;
 };
 
+/** Returns a state for the VM; routing learns fast, since one of many VMs calls an endpoint a few times a second. */
+ForwardState makeForwardState(const VmId& vm, const DataCentreName& dataCentre);
+
 /**
  * Takes over a new published state with its endpoints and routes.
  *
--- a/src/libflamingo/routing/attempt.cpp
+++ b/src/libflamingo/routing/attempt.cpp
@@ -13,7 +13,7 @@
     attempt.m_generation = stats.m_generation;
     attempt.m_sentAt = now;
     attempt.m_open = true;
-    attempt.m_probe = noteCallSent(stats);
+    attempt.m_probe = noteCallSent(stats, now);
     attempt.m_suspect = suspect;
     if (suspect)
         ++stats.m_suspects;
--- a/src/libflamingo/routing/endpointstats.cpp
+++ b/src/libflamingo/routing/endpointstats.cpp
@@ -3,6 +3,7 @@
 #include "routing/routingsettings.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace flamingo {
 
@@ -18,18 +19,41 @@
     stats.m_ejectedUntil = now + stats.m_ejection;
 }
 
-void updateLatency(EndpointStats& stats, Microseconds elapsed, const RoutingSettings& settings)
+/** Returns the weight of what was seen before; it fades with the time that has passed since. */
+double keptWeight(double newestWeight, MonotonicTime since, const RoutingSettings& settings, MonotonicTime now)
 {
+    const double kept = 1.0 - newestWeight;
+    if (settings.m_memoryHalfLife.count() <= 0)
+        return kept;
+    const std::chrono::duration<double> age = now - since;
+    return kept * std::exp2(-age / std::chrono::duration<double>(settings.m_memoryHalfLife));
+}
+
+void updateLatency(EndpointStats& stats, Microseconds elapsed, const RoutingSettings& settings, MonotonicTime now)
+{
+
     const auto sample = static_cast<double>(elapsed.count());
     if (stats.m_latency <= 0.0)
         stats.m_latency = sample;
     else
-        stats.m_latency += settings.m_latencyWeight * (sample - stats.m_latency);
+        stats.m_latency = sample
+            + keptWeight(settings.m_latencyWeight, stats.m_latencyAt, settings, now) * (stats.m_latency - sample);
+    stats.m_latencyAt = now;
+}
+
+void updateBadShare(EndpointStats& stats, CallVerdict verdict, const RoutingSettings& settings, MonotonicTime now)
+{
+    if (verdict == CallVerdict::Abandoned || verdict == CallVerdict::LostRace)
+        return;
+    const double sample = verdict == CallVerdict::Answered ? 0.0 : 1.0;
+    stats.m_badShare = sample
+        + keptWeight(settings.m_badShareWeight, stats.m_badShareAt, settings, now) * (stats.m_badShare - sample);
+    stats.m_badShareAt = now;
 }
 
 void noteAnswer(EndpointStats& stats, const CallEnd& end, const RoutingSettings& settings, MonotonicTime now)
 {
-    updateLatency(stats, end.m_elapsed, settings);
+    updateLatency(stats, end.m_elapsed, settings, now);
     stats.m_failuresInRow = 0;
     stats.m_lostRacesInRow = 0;
     ++stats.m_answersInRow;
@@ -53,8 +77,10 @@
 
 } // namespace
 
-bool noteCallSent(EndpointStats& stats)
+bool noteCallSent(EndpointStats& stats, MonotonicTime now)
 {
+    if (stats.m_inFlight == 0)
+        stats.m_progressAt = now;
     ++stats.m_inFlight;
     const bool probe = stats.m_ejected && !stats.m_probing;
     stats.m_probing = stats.m_probing || probe;
@@ -65,6 +91,8 @@
 {
     if (stats.m_inFlight > 0)
         --stats.m_inFlight;
+    stats.m_progressAt = now;
+    updateBadShare(stats, end.m_verdict, settings, now);
     if (end.m_suspect && stats.m_suspects > 0)
         --stats.m_suspects;
     if (end.m_load)
@@ -89,12 +117,12 @@
     case CallVerdict::Failed:
         ++stats.m_failuresInRow;
         stats.m_refusesConnections = false;
-        updateLatency(stats, end.m_elapsed, settings);
+        updateLatency(stats, end.m_elapsed, settings, now);
         noteBadEnd(stats, stats.m_failuresInRow >= settings.m_failuresToEject, end.m_probe, settings, now);
         break;
     case CallVerdict::LostRace:
         // The time until the cancellation is a lower bound of the latency.
-        updateLatency(stats, end.m_elapsed, settings);
+        updateLatency(stats, end.m_elapsed, settings, now);
         ++stats.m_lostRacesInRow;
         stats.m_refusesConnections = false;
         noteBadEnd(stats, stats.m_lostRacesInRow >= settings.m_lostRacesToEject, end.m_probe, settings, now);
--- a/src/libflamingo/routing/endpointstats.h
+++ b/src/libflamingo/routing/endpointstats.h
@@ -15,6 +15,10 @@
     std::uint64_t m_generation = 0; // tells successive endpoints at one position apart
     std::uint32_t m_inFlight = 0; // calls of this daemon
     double m_latency = 0.0; // moving average, µs; 0 before the first sample
+    MonotonicTime m_latencyAt {}; // of the newest sample
+    double m_badShare = 0.0; // moving average of the calls that were refused or failed, 0 to 1
+    MonotonicTime m_badShareAt {}; // of the newest call in it
+    MonotonicTime m_progressAt {}; // since when calls are in flight without any of them ending
     std::uint32_t m_failuresInRow = 0;
     std::uint32_t m_lostRacesInRow = 0;
     std::uint32_t m_answersInRow = 0;
@@ -45,7 +49,7 @@
 };
 
 /** Counts a call as in flight. Returns whether it is the probe of an ejected endpoint. */
-bool noteCallSent(EndpointStats& stats);
+bool noteCallSent(EndpointStats& stats, MonotonicTime now);
 
 /** What ended a call. */
 struct CallEnd {
--- a/src/libflamingo/routing/routingsettings.h
+++ b/src/libflamingo/routing/routingsettings.h
@@ -14,6 +14,10 @@
 
     // Weight of the newest sample in the moving average of an endpoint's latency.
     double m_latencyWeight = 0.1;
+    // Weight of the newest call in the share of an endpoint's calls that were refused or failed.
+    double m_badShareWeight = 0.2;
+    // What was seen of an endpoint counts half after this time without calls; 0 for no fading.
+    Milliseconds m_memoryHalfLife { 0 };
     // Latencies closer than this fraction count as equal, so that the endpoint's report decides.
     double m_latencyTie = 0.1;
     // Calls in flight beyond the endpoint's slots. One lets the next request travel while the last one
--- a/src/libflamingo/routing/tests/endpointchoicetest.cpp
+++ b/src/libflamingo/routing/tests/endpointchoicetest.cpp
@@ -18,7 +18,7 @@
 void fail(EndpointStats& stats, CallVerdict verdict, const RoutingSettings& settings, MonotonicTime now)
 {
     CallEnd end;
-    end.m_probe = noteCallSent(stats);
+    end.m_probe = noteCallSent(stats, now);
     end.m_verdict = verdict;
     noteCallEnded(stats, end, settings, now);
 }
@@ -156,7 +156,7 @@
     {
         CHECK(chosen(routing, random, at(501)) == "bad");
         CallEnd end;
-        end.m_probe = noteCallSent(bad);
+        end.m_probe = noteCallSent(bad, at(502));
         CHECK(end.m_probe);
         CHECK(chosen(routing, random, at(502)) == "good");
 
@@ -181,8 +181,8 @@
     SECTION("guards against readmission by a call that was in flight before the ejection")
     {
         EndpointStats& good = statsFor(routing, "good");
-        noteCallSent(good);
-        noteCallSent(good);
+        noteCallSent(good, at(0));
+        noteCallSent(good, at(0));
         CallEnd lost;
         lost.m_verdict = CallVerdict::Disconnected;
         noteCallEnded(good, lost, routing.m_settings, at(0));
