--- a/src/libflamingo/consensus/consensusjoin.cpp
+++ b/src/libflamingo/consensus/consensusjoin.cpp
@@ -57,8 +57,7 @@
     } else if (wasRemoved(configuration, message.m_from)) {
         answer.m_removed = true;
         answer.m_text = "this member was removed from the cluster";
-    } else if (m_settings.m_openMembership || hasVm(configuration, request.m_vm)
-        || m_invitations.count(request.m_vm)) {
+    } else if (m_settings.m_openMembership || hasVm(configuration, request.m_vm) || m_invitations.count(request.m_vm)) {
         const MemberRecord record { message.m_from, request.m_vm, message.m_fromAddress, false };
         answer.m_accepted = run(AddLearnerEvent { record }, now);
         if (!answer.m_accepted)
--- a/src/libflamingo/control/codecdecode.cpp
+++ b/src/libflamingo/control/codecdecode.cpp
@@ -236,9 +236,8 @@
         && recordsFromJson<ServiceDefinition>(json[2], state, reason)
         && recordsFromJson<EndpointRecord>(json[3], state, reason) && fromJson(json[4], drains, reason)
         && recordsFromJson<SnapshotLayout>(json[5], state, reason) && recordsFromJson<VmRecord>(json[6], state, reason)
-        && recordsFromJson<QuarantineRecord>(json[7], state, reason)
-        && fromJson(json[8], state.m_routeHeader, reason) && recordsFromJson<Route>(json[9], state, reason)
-        && recordsFromJson<RoutedService>(json[10], state, reason);
+        && recordsFromJson<QuarantineRecord>(json[7], state, reason) && fromJson(json[8], state.m_routeHeader, reason)
+        && recordsFromJson<Route>(json[9], state, reason) && recordsFromJson<RoutedService>(json[10], state, reason);
     for (const EndpointId& endpoint : drains)
         applyChange(state, OperatorDrainChange { endpoint, true });
     return ok;
--- a/src/libflamingo/control/controlprotocol.h
+++ b/src/libflamingo/control/controlprotocol.h
@@ -40,7 +40,8 @@
     ResultCode m_code = ResultCode::Ok;
     std::string m_text;
     std::string m_document; // the routes that were read
-    std::string m_leaderApi; // where the leader answers: for later heartbeats, or for the same call if m_code is NotLeader
+    std::string
+        m_leaderApi; // where the leader answers: for later heartbeats, or for the same call if m_code is NotLeader
 };
 
 /**
--- a/src/libflamingo/control/messages.h
+++ b/src/libflamingo/control/messages.h
@@ -41,8 +41,8 @@
     bool m_drained = false;
 };
 using Change = std::variant<ServiceDefinition, EndpointRecord, SnapshotLayout, VmRecord, QuarantineRecord,
-    ErasedService, ErasedEndpoint, ErasedLayout, ErasedVm, ErasedQuarantine, OperatorDrainChange,
-    RouteHeader, Route, RoutedService, ErasedRoute, ErasedRoutedService>;
+    ErasedService, ErasedEndpoint, ErasedLayout, ErasedVm, ErasedQuarantine, OperatorDrainChange, RouteHeader, Route,
+    RoutedService, ErasedRoute, ErasedRoutedService>;
 
 // Entry VM to control.
 struct Hello {
--- a/src/libflamingo/control/recordfields.h
+++ b/src/libflamingo/control/recordfields.h
@@ -338,9 +338,8 @@
     static constexpr const char* name = "ControlState";
     template <typename S> static auto tie(S& s)
     {
-        return std::tie(
-            s.m_published, s.m_logTime, s.m_claims, s.m_results, s.m_lastResultNumber, s.m_suspects, s.m_leftEndpoints,
-            s.m_routesDocument);
+        return std::tie(s.m_published, s.m_logTime, s.m_claims, s.m_results, s.m_lastResultNumber, s.m_suspects,
+            s.m_leftEndpoints, s.m_routesDocument);
     }
 };
 
--- a/src/libflamingo/control/tests/codectest.cpp
+++ b/src/libflamingo/control/tests/codectest.cpp
@@ -82,19 +82,22 @@
     Reason reason;
     SECTION("another protocol version")
     {
-        REQUIRE_FALSE(decodeMessage(cbor({ { "v", protocolVersion + 1 }, { "t", "renew" }, { "b", Json::array() } }), reason));
+        REQUIRE_FALSE(
+            decodeMessage(cbor({ { "v", protocolVersion + 1 }, { "t", "renew" }, { "b", Json::array() } }), reason));
         REQUIRE(reason.m_code == ResultCode::UnsupportedProtocol);
     }
     SECTION("an unknown message type")
     {
-        REQUIRE_FALSE(decodeMessage(cbor({ { "v", protocolVersion }, { "t", "bogus" }, { "b", Json::array() } }), reason));
+        REQUIRE_FALSE(
+            decodeMessage(cbor({ { "v", protocolVersion }, { "t", "bogus" }, { "b", Json::array() } }), reason));
         REQUIRE(reason.m_text == "unknown message type bogus");
     }
     SECTION("a negative or oversized number")
     {
         for (const Json& number : { Json(-1), Json(1.5), Json(std::uint64_t { 1 } << 40) }) {
             const Json reply = Json::array({ 1, number, 2, true });
-            REQUIRE_FALSE(decodeMessage(cbor({ { "v", protocolVersion }, { "t", "statusReply" }, { "b", reply } }), reason));
+            REQUIRE_FALSE(
+                decodeMessage(cbor({ { "v", protocolVersion }, { "t", "statusReply" }, { "b", reply } }), reason));
             REQUIRE(reason.m_text.find("StatusReply field 1") == 0);
         }
     }
@@ -110,10 +113,12 @@
     }
     SECTION("an unknown command, result code or claim phase")
     {
-        const Json command = Json::array({ "id", nullptr, 1, Json::array({ std::variant_size_v<CommandBody>, Json::array() }) });
+        const Json command
+            = Json::array({ "id", nullptr, 1, Json::array({ std::variant_size_v<CommandBody>, Json::array() }) });
         REQUIRE_FALSE(decodeCommand(cbor({ { "v", protocolVersion }, { "t", "command" }, { "b", command } }), reason));
         const Json result = Json::array({ 1, Json::array({ 999, "", 1, 1, false }) });
-        REQUIRE_FALSE(decodeMessage(cbor({ { "v", protocolVersion }, { "t", "commandReply" }, { "b", result } }), reason));
+        REQUIRE_FALSE(
+            decodeMessage(cbor({ { "v", protocolVersion }, { "t", "commandReply" }, { "b", result } }), reason));
         REQUIRE(reason.m_text.find("unknown result code 999") != std::string::npos);
     }
     SECTION("another kind of value")
--- a/src/libflamingo/daemon/controlloop.cpp
+++ b/src/libflamingo/daemon/controlloop.cpp
@@ -36,10 +36,10 @@
 
 bool ControlLoop::addMetrics(const SocketAddress& address, std::function<std::string()> text, Reason& reason)
 {
-    m_metrics = std::make_unique<HttpServer>(
-        m_io, [text = std::move(text)](const std::shared_ptr<HttpExchange>& exchange) {
-            exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text() });
-        });
+    m_metrics
+        = std::make_unique<HttpServer>(m_io, [text = std::move(text)](const std::shared_ptr<HttpExchange>& exchange) {
+              exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text() });
+          });
     return m_metrics->start(address, reason);
 }
 
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -86,8 +86,8 @@
 {
     if (!m_settings.m_member.m_openMembership || !m_member->removed())
         return;
-    FLAMINGO_LOG(Warning, "removed from the log; rejoining with an empty data folder",
-        { "member", m_member->id().value() });
+    FLAMINGO_LOG(
+        Warning, "removed from the log; rejoining with an empty data folder", { "member", m_member->id().value() });
     closeMember();
     std::error_code error;
     std::filesystem::remove_all(m_settings.m_member.m_folder, error);
@@ -115,8 +115,7 @@
     ports.m_wallClock = wallClock;
     ports.m_administer = [this](const AdminRequest& request) { return administer(request); };
     // The seed is unpredictable and differs for each process, as the proposer number has to.
-    m_service = std::make_unique<ControlService>(
-        std::move(ports), m_settings.m_member.m_seed, m_settings.m_service);
+    m_service = std::make_unique<ControlService>(std::move(ports), m_settings.m_member.m_seed, m_settings.m_service);
 }
 
 MemberCallbacks ControlRole::memberCallbacks()
--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -158,7 +158,8 @@
 
 bool Daemon::startEntry(Reason& reason)
 {
-    m_control.addEntryLink(clientSettings(SocketAddress { m_settings.m_entry.m_listen, m_settings.m_entry.m_port }.text()),
+    m_control.addEntryLink(
+        clientSettings(SocketAddress { m_settings.m_entry.m_listen, m_settings.m_entry.m_port }.text()),
         [this](std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes) {
             m_entry->takeState(std::move(state), changes);
         });
--- a/src/libflamingo/daemon/daemonprocess.cpp
+++ b/src/libflamingo/daemon/daemonprocess.cpp
@@ -62,7 +62,8 @@
         return;
     }
     daemon.reload(*settings);
-    FLAMINGO_LOG(Info, "settings reloaded", { "control_addresses", std::to_string(settings->m_controlAddresses.size()) });
+    FLAMINGO_LOG(
+        Info, "settings reloaded", { "control_addresses", std::to_string(settings->m_controlAddresses.size()) });
 }
 
 /** Waits for the signal to stop, and reloads the settings meanwhile. */
--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -89,7 +89,8 @@
         runOnLoop([this, &inFlight] { inFlight = m_callers.counters().m_requestsInFlight; });
     }
     if (inFlight > 0)
-        FLAMINGO_LOG(Warning, "the grace period ended with requests in flight", { "requests", std::to_string(inFlight) });
+        FLAMINGO_LOG(
+            Warning, "the grace period ended with requests in flight", { "requests", std::to_string(inFlight) });
 }
 
 void ForwardLoop::stop()
@@ -211,7 +212,8 @@
     const MonotonicTime now = monotonicNow();
     if (m_lease->valid(now))
         m_confirmedAt = now;
-    const bool fresh = m_state.m_header.m_version.value() != 0 && now - m_confirmedAt < m_settings.m_routes.m_staleLimit;
+    const bool fresh
+        = m_state.m_header.m_version.value() != 0 && now - m_confirmedAt < m_settings.m_routes.m_staleLimit;
     if (fresh == m_fresh)
         return;
     m_fresh = fresh;
--- a/src/libflamingo/daemon/forwardloop.h
+++ b/src/libflamingo/daemon/forwardloop.h
@@ -25,8 +25,8 @@
 class ForwardLoop {
 public:
     /** The protocol and the registry must outlive the loop. */
-    ForwardLoop(const Settings& settings, const CallerProtocol& protocol,
-        std::shared_ptr<const LeaseView> lease, MetricsRegistry& metrics);
+    ForwardLoop(const Settings& settings, const CallerProtocol& protocol, std::shared_ptr<const LeaseView> lease,
+        MetricsRegistry& metrics);
     ~ForwardLoop();
     ForwardLoop(const ForwardLoop&) = delete;
     ForwardLoop& operator=(const ForwardLoop&) = delete;
--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -129,8 +129,7 @@
     constexpr unsigned firstErrorStatus = 400;
     if (reply.m_outcome != CallOutcome::Answered || reply.m_status >= firstErrorStatus)
         logFailedCall(*running, attempt, reply);
-    carryOut(running,
-        takeForwardReply(m_state, running->m_execution, attempt, std::move(reply), monotonicNow()));
+    carryOut(running, takeForwardReply(m_state, running->m_execution, attempt, std::move(reply), monotonicNow()));
 }
 
 void ForwardRunner::logFailedCall(const Running& running, AttemptNumber attempt, const EndpointReply& reply) const
@@ -175,8 +174,8 @@
     const ForwardRequest& request = running->m_execution.m_request;
     const auto elapsed = monotonicNow() - request.m_receivedAt;
     m_counters.m_failedCalls += answer.m_code == ResultCode::Ok ? 0 : 1;
-    FLAMINGO_LOG(Info, "request answered", { "request_id", request.m_id.value() },
-        { "route", request.m_route->m_name }, { "version", std::to_string(request.m_version.value()) },
+    FLAMINGO_LOG(Info, "request answered", { "request_id", request.m_id.value() }, { "route", request.m_route->m_name },
+        { "version", std::to_string(request.m_version.value()) },
         { "code", std::to_string(static_cast<int>(answer.m_code)) }, { "status", std::to_string(answer.m_status) },
         { "shards", std::to_string(answer.m_shards) }, { "missing", std::to_string(answer.m_missingShards) },
         { "calls", std::to_string(answer.m_calls) }, { "hedges", std::to_string(running->m_hedges) },
@@ -190,14 +189,13 @@
 void ForwardRunner::record(const ForwardExecution& execution, const ForwardAnswer& answer, Microseconds elapsed)
 {
     const Route& route = *execution.m_request.m_route;
-    CallerMetrics& metrics = m_metrics.find(
-        ServiceName(route.m_name), CallerClass("priority-" + std::to_string(route.m_priority)));
+    CallerMetrics& metrics
+        = m_metrics.find(ServiceName(route.m_name), CallerClass("priority-" + std::to_string(route.m_priority)));
     QueryMeasurement measurement;
     measurement.m_code = answer.m_code;
     measurement.m_seconds = std::chrono::duration<double>(elapsed).count();
-    measurement.m_coverage = answer.m_shards == 0
-        ? 0.0
-        : double(answer.m_shards - answer.m_missingShards) / double(answer.m_shards);
+    measurement.m_coverage
+        = answer.m_shards == 0 ? 0.0 : double(answer.m_shards - answer.m_missingShards) / double(answer.m_shards);
     measurement.m_endpointRequests = answer.m_calls;
     measurement.m_shards = answer.m_shards;
     metrics.recordQuery(measurement);
--- a/src/libflamingo/daemon/forwardrunner.h
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -37,8 +37,7 @@
 public:
     using AnswerHandler = std::function<void(ForwardAnswer)>;
 
-    ForwardRunner(
-        boost::asio::io_context& io, EndpointClient& client, ForwardState& state, MetricsRegistry& metrics);
+    ForwardRunner(boost::asio::io_context& io, EndpointClient& client, ForwardState& state, MetricsRegistry& metrics);
     ~ForwardRunner();
     ForwardRunner(const ForwardRunner&) = delete;
     ForwardRunner& operator=(const ForwardRunner&) = delete;
--- a/src/libflamingo/daemon/queryrunner.h
+++ b/src/libflamingo/daemon/queryrunner.h
@@ -7,8 +7,8 @@
 #include "query/queryexecution.h"
 #include "routing/admission.h"
 
-#include <boost/asio/io_context.hpp>
 #include "base/monotonictimer.h"
+#include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <map>
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -3,8 +3,8 @@
 #include "endpoint/connectionpool.h"
 #include "endpoint/httpconnectionowner.h"
 
-#include <boost/asio/post.hpp>
 #include "base/monotonictimer.h"
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -42,10 +42,7 @@
     friend bool operator>(const Deadline& a, const Deadline& b) { return a.m_at > b.m_at; }
 };
 
-Microseconds since(MonotonicTime start)
-{
-    return std::chrono::duration_cast<Microseconds>(monotonicNow() - start);
-}
+Microseconds since(MonotonicTime start) { return std::chrono::duration_cast<Microseconds>(monotonicNow() - start); }
 
 EndpointReply failure(CallOutcome outcome, std::string text)
 {
--- a/src/libflamingo/endpoint/requestheader.cpp
+++ b/src/libflamingo/endpoint/requestheader.cpp
@@ -1,5 +1,5 @@
-#include "endpoint/endpointprotocol.h"
 #include "endpoint/requestheader.h"
+#include "endpoint/endpointprotocol.h"
 
 #include <boost/beast/core/string.hpp>
 
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -130,8 +130,7 @@
     void trySend(std::size_t index, CallKind kind)
     {
         ForwardPart& part = m_execution.m_parts[index];
-        if (part.m_mayHaveRun >= std::max(1U, m_route.m_maxAttempts)
-            || (kind == CallKind::Hedge && !mayRepeat())) {
+        if (part.m_mayHaveRun >= std::max(1U, m_route.m_maxAttempts) || (kind == CallKind::Hedge && !mayRepeat())) {
             giveUp(part, kind);
             return;
         }
@@ -201,7 +200,8 @@
         ForwardPart& part = m_execution.m_parts[index];
         stopWaitingFor(part);
         const AttemptNumber number(static_cast<std::uint32_t>(m_execution.m_calls.size()));
-        m_execution.m_calls.push_back({ index, beginAttempt(m_state.m_routing, endpoint, false, m_now), kind == CallKind::Hedge });
+        m_execution.m_calls.push_back(
+            { index, beginAttempt(m_state.m_routing, endpoint, false, m_now), kind == CallKind::Hedge });
         part.m_tried.push_back(endpoint);
         ++part.m_openCalls;
         ++part.m_mayHaveRun;
@@ -300,8 +300,8 @@
     return step.finish();
 }
 
-ForwardEffects takeForwardReply(ForwardState& state, ForwardExecution& execution, AttemptNumber attempt,
-    EndpointReply reply, MonotonicTime now)
+ForwardEffects takeForwardReply(
+    ForwardState& state, ForwardExecution& execution, AttemptNumber attempt, EndpointReply reply, MonotonicTime now)
 {
     Step step(state, execution, now);
     step.takeReply(attempt, std::move(reply));
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -71,8 +71,8 @@
 ForwardEffects startForward(ForwardState& state, ForwardExecution& execution, MonotonicTime now);
 
 /** Takes the reply to a call; also after the answer, since the endpoint's standing depends on it. */
-ForwardEffects takeForwardReply(ForwardState& state, ForwardExecution& execution, AttemptNumber attempt,
-    EndpointReply reply, MonotonicTime now);
+ForwardEffects takeForwardReply(
+    ForwardState& state, ForwardExecution& execution, AttemptNumber attempt, EndpointReply reply, MonotonicTime now);
 
 /** Sends what is due and gives the answer at the goal or the deadline. */
 ForwardEffects forwardTimer(ForwardState& state, ForwardExecution& execution, MonotonicTime now);
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -64,8 +64,8 @@
         [](const ForwardPart& part) { return part.m_mayHaveRun > 0; });
     if (mayHaveRun)
         return own(execution, ResultCode::EndpointFailed, text);
-    const bool refused = std::any_of(execution.m_parts.begin(), execution.m_parts.end(),
-        [](const ForwardPart& part) { return part.m_refused > 0; });
+    const bool refused = std::any_of(
+        execution.m_parts.begin(), execution.m_parts.end(), [](const ForwardPart& part) { return part.m_refused > 0; });
     return own(execution, refused ? ResultCode::EndpointRefused : ResultCode::NoEndpoint, text);
 }
 
--- a/src/libflamingo/forward/placement.cpp
+++ b/src/libflamingo/forward/placement.cpp
@@ -84,8 +84,7 @@
         if (now < stats.m_refusedUntil) {
             noteRetryAt(choice, stats.m_refusedUntil);
         } else if (stats.m_ejected && (now < stats.m_ejectedUntil || stats.m_probing)) {
-            if (!lastResort
-                || stats.m_ejectedUntil < routing.m_endpoints[lastResort->value()].m_ejectedUntil)
+            if (!lastResort || stats.m_ejectedUntil < routing.m_endpoints[lastResort->value()].m_ejectedUntil)
                 lastResort = index;
         } else if (!canTakeCall(routing, index, now)) {
             choice.m_busy = true;
--- a/src/libflamingo/forward/tests/placementtest.cpp
+++ b/src/libflamingo/forward/tests/placementtest.cpp
@@ -46,8 +46,7 @@
 
     SECTION("two equal endpoints share the calls")
     {
-        const Share share = playCalls(
-            vm, 400, [](bool, Milliseconds&) { return ForwardFixture::success("r"); });
+        const Share share = playCalls(vm, 400, [](bool, Milliseconds&) { return ForwardFixture::success("r"); });
         CHECK(share.value() > 0.35);
         CHECK(share.value() < 0.65);
     }
@@ -75,8 +74,7 @@
             return ForwardFixture::success("r");
         });
         vm.m_now += Milliseconds(10000);
-        const Share share = playCalls(
-            vm, 200, [](bool, Milliseconds&) { return ForwardFixture::success("r"); });
+        const Share share = playCalls(vm, 200, [](bool, Milliseconds&) { return ForwardFixture::success("r"); });
         CHECK(share.value() > 0.3);
     }
     SECTION("an endpoint with a call that does not end is passed over")
--- a/src/libflamingo/http/httpserver.cpp
+++ b/src/libflamingo/http/httpserver.cpp
@@ -185,17 +185,16 @@
 
     void readHeader()
     {
-        http::async_read(
-            m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
-                self->onRead(error);
-            });
+        http::async_read(m_socket, m_buffer, *m_parser,
+            [self = shared_from_this()](error_code error, std::size_t) { self->onRead(error); });
     }
 
     void onRead(error_code error)
     {
         if (m_state != State::Reading)
             return;
-        if (error == http::error::end_of_stream || error == asio::error::eof || error == asio::error::connection_reset) {
+        if (error == http::error::end_of_stream || error == asio::error::eof
+            || error == asio::error::connection_reset) {
             close();
             return;
         }
@@ -282,12 +281,13 @@
     {
         constexpr std::size_t drainBytes = 4096;
         m_buffer.consume(m_buffer.size());
-        m_socket.async_read_some(m_buffer.prepare(drainBytes), [self = shared_from_this()](error_code error, std::size_t) {
-            if (error || self->m_state != State::Writing)
-                self->close();
-            else
-                self->drain();
-        });
+        m_socket.async_read_some(
+            m_buffer.prepare(drainBytes), [self = shared_from_this()](error_code error, std::size_t) {
+                if (error || self->m_state != State::Writing)
+                    self->close();
+                else
+                    self->drain();
+            });
     }
 
     std::shared_ptr<Impl> m_server;
--- a/src/libflamingo/routes/tests/routestest.cpp
+++ b/src/libflamingo/routes/tests/routestest.cpp
@@ -51,7 +51,8 @@
     }
     SECTION("whatever the port of the host and the query of the target are")
     {
-        CHECK(findRoute(table, "shop.example:8104", "/orders/7?next=/orders/proofs/")->m_name == "shop.example/orders/");
+        CHECK(
+            findRoute(table, "shop.example:8104", "/orders/7?next=/orders/proofs/")->m_name == "shop.example/orders/");
         CHECK(findRoute(table, "other.example", "/")->m_name == "other.example/");
     }
     SECTION("until it is removed")
