--- a/src/libflamingo/control/cborwriter.h
+++ b/src/libflamingo/control/cborwriter.h
@@ -30,6 +30,11 @@
         head(majorText, value.size());
         m_bytes.append(value);
     }
+    void bytes(std::string_view value)
+    {
+        head(majorBytes, value.size());
+        m_bytes.append(value);
+    }
     void boolean(bool value) { m_bytes.push_back(static_cast<char>(value ? simpleTrue : simpleFalse)); }
     void null() { m_bytes.push_back(static_cast<char>(simpleNull)); }
     void real(double value)
@@ -50,6 +55,7 @@
 private:
     static constexpr unsigned majorUnsigned = 0;
     static constexpr unsigned majorNegative = 1;
+    static constexpr unsigned majorBytes = 2;
     static constexpr unsigned majorText = 3;
     static constexpr unsigned majorArray = 4;
     static constexpr unsigned majorMap = 5;
--- a/src/libflamingo/daemon/controlloop.cpp
+++ b/src/libflamingo/daemon/controlloop.cpp
@@ -104,6 +104,14 @@
     });
 }
 
+void ControlLoop::announceLeave()
+{
+    boost::asio::post(m_io, [this] {
+        if (m_link)
+            m_link->client().leave(monotonicNow());
+    });
+}
+
 void ControlLoop::leave(Milliseconds timeout)
 {
     if (!m_link || !m_thread.joinable())
--- a/src/libflamingo/daemon/controlloop.h
+++ b/src/libflamingo/daemon/controlloop.h
@@ -51,6 +51,9 @@
     /** Starts the thread. */
     void run();
 
+    /** Tells the leader that this VM leaves, so that other VMs send it no more calls; returns at once. */
+    void announceLeave();
+
     /** Has the leader end this VM's lease; returns when it has, or after the timeout. */
     void leave(Milliseconds timeout);
 
--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -251,8 +251,8 @@
         m_control.leave(leaveTimeout);
     }
     if (m_routes) {
+        m_control.announceLeave();
         m_routes->shutDown(m_settings.m_shutdownGrace);
-        m_control.leave(leaveTimeout);
     }
     if (m_settings.m_controlRole && m_protocols.m_control)
         m_control.stopApi();
--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -1,6 +1,7 @@
 #include "daemon/forwardloop.h"
 
 #include "base/log.h"
+#include "forward/mergewire.h"
 
 #include <boost/asio/post.hpp>
 
@@ -20,6 +21,10 @@
 constexpr Milliseconds connectTimeout { 500 };
 // Connections kept open to each endpoint ahead of need.
 constexpr std::uint32_t warmConnections = 1;
+// A request of a caller within its limits, and the names of its shards.
+constexpr std::uint64_t maximumMergeCall = 1ULL << 20U;
+// Connections between VMs are few and are kept.
+constexpr Milliseconds mergeIdleTimeout { 600000 };
 // Part of the allowed extra load that the VMs plan with, since they do not see each other's calls.
 constexpr double extraLoadUsed = 0.75;
 
@@ -28,6 +33,7 @@
     ForwardState state = makeForwardState(settings.m_vm, settings.m_dataCentre);
     state.m_settings.m_extraLoadShare = settings.m_routes.m_extraLoadShare * extraLoadUsed;
     state.m_settings.m_extraLoadCalls = settings.m_routes.m_extraLoadCalls * extraLoadUsed;
+    state.m_settings.m_mergePort = settings.m_routes.m_mergePort;
     state.m_random.seed(std::random_device {}());
     return state;
 }
@@ -43,9 +49,11 @@
     , m_ticker(m_io)
     , m_state(makeState(settings))
     , m_client(m_io, *protocol.m_endpoints)
-    , m_runner(m_io, m_client, m_state, metrics)
+    , m_mergeClient(m_io, mergeProtocol())
+    , m_runner(m_io, m_client, m_mergeClient, m_state, metrics)
     , m_callers(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); })
     , m_probes(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleProbe(*exchange); })
+    , m_merges(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleMerge(exchange); })
 {
     observeMetrics(metrics);
 }
@@ -56,6 +64,15 @@
 {
     if (!m_callers.start(m_settings.m_routes.m_listen, reason) || !m_probes.start(m_settings.m_routes.m_health, reason))
         return false;
+    const std::uint16_t mergePort = m_settings.m_routes.m_mergePort;
+    if (mergePort != 0) {
+        CallerLimits limits;
+        limits.m_bodyBytes = maximumMergeCall;
+        limits.m_idleTimeout = mergeIdleTimeout;
+        m_merges.setLimits(limits);
+        if (!m_merges.start({ m_settings.m_routes.m_listen.m_ip, mergePort }, reason))
+            return false;
+    }
     scheduleTick();
     m_thread = std::thread([this] { m_io.run(); });
     return true;
@@ -80,13 +97,19 @@
     runOnLoop([this] {
         m_stopping = true;
         m_callers.announceClose();
+        m_merges.announceClose();
     });
     std::this_thread::sleep_for(std::min(m_settings.m_routes.m_drainWait, grace));
-    runOnLoop([this] { m_callers.stopAccepting(); });
+    runOnLoop([this] {
+        m_callers.stopAccepting();
+        m_merges.stopAccepting();
+    });
     std::size_t inFlight = 1;
     while (inFlight > 0 && monotonicNow() < end) {
         std::this_thread::sleep_for(drainPoll);
-        runOnLoop([this, &inFlight] { inFlight = m_callers.counters().m_requestsInFlight; });
+        runOnLoop([this, &inFlight] {
+            inFlight = m_callers.counters().m_requestsInFlight + m_merges.counters().m_requestsInFlight;
+        });
     }
     if (inFlight > 0)
         FLAMINGO_LOG(
@@ -122,12 +145,15 @@
         m_callers.setLimits(m_state.m_header.m_limits);
         m_fresh = true;
     }
-    updateConnections();
+    updateConnections(changes);
 }
 
-void ForwardLoop::updateConnections()
+void ForwardLoop::updateConnections(const std::vector<Change>* changes)
 {
-    RoutingTable& table = m_state.m_routing.m_table;
+    const RoutingTable& table = m_state.m_routing.m_table;
+    const auto concernsOneEndpoint = [](const Change& change) {
+        return std::holds_alternative<EndpointRecord>(change) || std::holds_alternative<ErasedEndpoint>(change);
+    };
     std::vector<EndpointId> gone;
     for (const EndpointId& endpoint : m_connected) {
         if (table.m_positions.count(endpoint) == 0)
@@ -137,18 +163,51 @@
         m_client.forget(endpoint);
         m_connected.erase(endpoint);
     }
-    for (const auto& [id, index] : table.m_positions) {
-        const EndpointRoute& route = table.m_endpoints.at(index.value());
-        EndpointLimits limits;
-        limits.m_connections = endpointShare(table, index);
-        limits.m_connectTimeout = connectTimeout;
-        m_client.setLimits(id, limits);
-        m_connected.insert(id);
-        const bool used = !route.m_draining && table.m_routedConnections.count(route.m_service) > 0;
-        m_client.warm(id, route.m_address, route.m_port, used ? std::min(limits.m_connections, warmConnections) : 0);
+    if (!changes || !std::all_of(changes->begin(), changes->end(), concernsOneEndpoint)) {
+        for (const auto& [id, index] : table.m_positions)
+            connectEndpoint(index);
+        return;
+    }
+    for (const Change& change : *changes) {
+        const auto* record = std::get_if<EndpointRecord>(&change);
+        const auto position = record ? table.m_positions.find(record->m_id) : table.m_positions.end();
+        if (position != table.m_positions.end())
+            connectEndpoint(position->second);
     }
 }
 
+void ForwardLoop::connectEndpoint(EndpointIndex index)
+{
+    RoutingTable& table = m_state.m_routing.m_table;
+    const EndpointRoute& route = table.m_endpoints.at(index.value());
+    EndpointLimits limits;
+    limits.m_connections = endpointShare(table, index);
+    limits.m_connectTimeout = connectTimeout;
+    m_client.setLimits(route.m_id, limits);
+    m_connected.insert(route.m_id);
+    const bool shared = table.m_sharers.count(route.m_service) > 0;
+    const bool used = !route.m_draining && table.m_routedConnections.count(route.m_service) > 0
+        && (!shared || m_state.m_ownShards.count(route.m_service) > 0);
+    m_client.warm(
+        route.m_id, route.m_address, route.m_port, used ? std::min(limits.m_connections, warmConnections) : 0);
+}
+
+void ForwardLoop::handleMerge(const std::shared_ptr<HttpExchange>& exchange)
+{
+    ForwardRequest request;
+    Reason reason;
+    if (!decodeMergeCall(exchange->request(), request, reason)) {
+        FLAMINGO_LOG(Warning, "refused a call for shards", { "reason", reason.m_text });
+        ForwardAnswer answer;
+        answer.m_code = reason.m_code;
+        exchange->respond(encodeMergeAnswer(answer));
+        return;
+    }
+    const ExecutionId id = m_runner.start(
+        std::move(request), [exchange](const ForwardAnswer& answer) { exchange->respond(encodeMergeAnswer(answer)); });
+    exchange->onAbandoned([this, id] { m_runner.abandon(id); });
+}
+
 std::optional<Reason> ForwardLoop::refusal() const
 {
     if (m_state.m_header.m_version.value() == 0)
--- a/src/libflamingo/daemon/forwardloop.h
+++ b/src/libflamingo/daemon/forwardloop.h
@@ -51,7 +51,9 @@
 
 private:
     void applyState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes);
-    void updateConnections();
+    void updateConnections(const std::vector<Change>* changes);
+    void connectEndpoint(EndpointIndex index);
+    void handleMerge(const std::shared_ptr<HttpExchange>& exchange);
     void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
     void refuse(HttpExchange& exchange, const RequestId& id, ResultCode code, const char* text);
     std::optional<Reason> refusal() const;
@@ -68,9 +70,11 @@
     MonotonicTimer m_ticker;
     ForwardState m_state;
     EndpointClient m_client;
+    EndpointClient m_mergeClient; // to other VMs that merge shards
     ForwardRunner m_runner;
     HttpServer m_callers;
     HttpServer m_probes;
+    HttpServer m_merges; // calls of other VMs for shards
     std::set<EndpointId> m_connected; // endpoints with limits set at the client
     MonotonicTime m_confirmedAt; // a leader confirmed the state at this time, or later
     bool m_fresh = false; // the state was confirmed within the limit at the last tick
--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -45,15 +45,16 @@
     AnswerHandler m_handler;
     MonotonicTimer m_timer;
     MonotonicTime m_timerAt = MonotonicTime::max();
-    std::map<AttemptNumber, CallHandle> m_calls; // open ones
+    std::map<AttemptNumber, std::pair<EndpointClient*, CallHandle>> m_calls; // open ones
     std::uint32_t m_hedges = 0;
     bool m_abandoned = false;
 };
 
-ForwardRunner::ForwardRunner(
-    boost::asio::io_context& io, EndpointClient& client, ForwardState& state, MetricsRegistry& metrics)
+ForwardRunner::ForwardRunner(boost::asio::io_context& io, EndpointClient& endpoints, EndpointClient& mergers,
+    ForwardState& state, MetricsRegistry& metrics)
     : m_io(io)
-    , m_client(client)
+    , m_endpoints(endpoints)
+    , m_mergers(mergers)
     , m_state(state)
     , m_metrics(metrics)
 {
@@ -88,8 +89,8 @@
     FLAMINGO_LOG(Info, "caller left", { "request_id", running->m_execution.m_request.m_id.value() },
         { "open_calls", std::to_string(running->m_calls.size()) });
     const auto calls = running->m_calls;
-    for (const auto& [attempt, handle] : calls)
-        m_client.cancel(handle);
+    for (const auto& [attempt, call] : calls)
+        call.first->cancel(call.second);
 }
 
 void ForwardRunner::carryOut(const RunningPtr& running, ForwardEffects effects)
@@ -120,7 +121,8 @@
     }
     const auto handler
         = [this, running, attempt](EndpointReply reply) { takeReply(running, attempt, std::move(reply)); };
-    running->m_calls[attempt] = m_client.start(std::move(effect.m_call), handler);
+    EndpointClient& client = effect.m_toMerger ? m_mergers : m_endpoints;
+    running->m_calls[attempt] = { &client, client.start(std::move(effect.m_call), handler) };
 }
 
 void ForwardRunner::takeReply(const RunningPtr& running, AttemptNumber attempt, EndpointReply reply)
@@ -180,10 +182,24 @@
         { "shards", std::to_string(answer.m_shards) }, { "missing", std::to_string(answer.m_missingShards) },
         { "calls", std::to_string(answer.m_calls) }, { "hedges", std::to_string(running->m_hedges) },
         { "elapsed_ms", milliseconds(elapsed) }, { "reason", answer.m_text });
-    record(running->m_execution, answer, std::chrono::duration_cast<Microseconds>(elapsed));
+    if (!request.m_partOfGoal)
+        record(running->m_execution, answer, std::chrono::duration_cast<Microseconds>(elapsed));
     const AnswerHandler handler = std::move(running->m_handler);
     running->m_handler = nullptr;
     handler(std::move(answer));
+    learnLag(running->m_execution);
+}
+
+// The processor's share is small, so that what is due at one moment leaves later. An answer that is due at the goal is
+// planned earlier by as much as lately was lost.
+void ForwardRunner::learnLag(const ForwardExecution& execution)
+{
+    constexpr Microseconds longest { 30000 };
+    constexpr int fading = 16;
+    const auto lag = std::chrono::duration_cast<Microseconds>(monotonicNow() - execution.m_goalAt);
+    if (execution.m_request.m_partOfGoal || lag < Microseconds(0) || lag > longest)
+        return;
+    m_state.m_goalLag = std::max(lag, m_state.m_goalLag - m_state.m_goalLag / fading);
 }
 
 void ForwardRunner::record(const ForwardExecution& execution, const ForwardAnswer& answer, Microseconds elapsed)
--- a/src/libflamingo/daemon/forwardrunner.h
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -37,7 +37,8 @@
 public:
     using AnswerHandler = std::function<void(ForwardAnswer)>;
 
-    ForwardRunner(boost::asio::io_context& io, EndpointClient& client, ForwardState& state, MetricsRegistry& metrics);
+    ForwardRunner(boost::asio::io_context& io, EndpointClient& endpoints, EndpointClient& mergers, ForwardState& state,
+        MetricsRegistry& metrics);
     ~ForwardRunner();
     ForwardRunner(const ForwardRunner&) = delete;
     ForwardRunner& operator=(const ForwardRunner&) = delete;
@@ -68,10 +69,12 @@
     void setTimer(const RunningPtr& running, MonotonicTime at);
     void wake(ExecutionId execution);
     void finish(const RunningPtr& running, ForwardAnswer answer);
+    void learnLag(const ForwardExecution& execution);
     void record(const ForwardExecution& execution, const ForwardAnswer& answer, Microseconds elapsed);
 
     boost::asio::io_context& m_io;
-    EndpointClient& m_client;
+    EndpointClient& m_endpoints;
+    EndpointClient& m_mergers; // other VMs that merge shards
     ForwardState& m_state;
     CallerMetricsTable m_metrics;
     ForwardCounters m_counters;
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -1,6 +1,8 @@
 #include "forward/forwardexecution.h"
 
 #include "forward/forwardfinish.h"
+#include "forward/mergeplan.h"
+#include "forward/mergewire.h"
 #include "forward/placement.h"
 
 #include <algorithm>
@@ -32,7 +34,10 @@
     void start()
     {
         for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
-            earnExtraLoad(forwardStats(m_state, m_execution.m_parts[index].m_service).m_budget);
+            const ForwardPart& part = m_execution.m_parts[index];
+            m_execution.m_shards += part.shards();
+            if (part.m_group.empty())
+                earnExtraLoad(forwardStats(m_state, part.m_service).m_budget);
             trySend(index, CallKind::First);
         }
     }
@@ -42,20 +47,33 @@
         ForwardCall& call = m_execution.m_calls.at(number.value());
         ForwardPart& part = m_execution.m_parts[call.m_part];
         --part.m_openCalls;
-        const CallVerdict verdict = forwardVerdict(m_execution.m_request, m_route, reply);
-        endAttempt(m_state.m_routing, part.m_service, call.m_attempt, verdict, &reply, m_now);
-        if (verdict == CallVerdict::Answered)
+        const bool merged = !part.m_group.empty();
+        std::optional<MergeReply> mergeReply;
+        if (merged && reply.m_outcome == CallOutcome::Answered && !reply.m_notRun)
+            mergeReply = decodeMergeReply(reply.m_body);
+        const CallVerdict verdict = merged ? mergeVerdict(reply, mergeReply.has_value())
+                                           : forwardVerdict(m_execution.m_request, m_route, reply);
+        RoutingState& routing = routingOf(part);
+        endAttempt(routing, part.m_service, call.m_attempt, verdict, &reply, m_now);
+        if (verdict == CallVerdict::Answered && !merged)
             addLatency(m_state.m_latencies[m_route.m_key],
                 std::chrono::duration_cast<Microseconds>(m_now - call.m_attempt.m_sentAt), m_now);
-        wakeWaiting(call.m_attempt.m_endpoint);
+        wakeWaiting(routing, call.m_attempt.m_endpoint);
         if (m_execution.m_finished || part.m_state != ForwardPart::State::Open)
             return;
-        if (verdict == CallVerdict::Answered) {
-            settle(part, ForwardPart::State::Answered);
-            part.m_reply = std::move(reply);
+        if (verdict != CallVerdict::Answered) {
+            takeFailure(call.m_part, std::move(reply));
             return;
         }
-        takeFailure(call.m_part, std::move(reply));
+        if (merged) {
+            part.m_receipts = std::move(mergeReply->m_receipts);
+            part.m_records = std::move(mergeReply->m_records);
+        } else {
+            part.m_receipts = { reply.m_receipt };
+            part.m_records = m_route.m_shards.empty() ? std::string() : std::move(reply.m_body);
+            part.m_reply = std::move(reply);
+        }
+        settle(part, ForwardPart::State::Answered);
     }
 
     void timer()
@@ -90,6 +108,11 @@
     }
 
 private:
+    RoutingState& routingOf(const ForwardPart& part) const
+    {
+        return part.m_group.empty() ? m_state.m_routing : m_state.m_mergers;
+    }
+
     bool mayRepeat() const { return m_route.m_idempotence == Idempotence::Idempotent; }
 
     void settle(ForwardPart& part, ForwardPart::State state)
@@ -98,13 +121,15 @@
         part.m_hedgeAt = MonotonicTime::max();
         part.m_retryAt = MonotonicTime::max();
         stopWaitingFor(part);
-        ++(state == ForwardPart::State::Answered ? m_execution.m_answered : m_execution.m_lost);
+        const auto answered = std::min(part.shards(), static_cast<std::uint32_t>(part.m_receipts.size()));
+        m_execution.m_answered += answered;
+        m_execution.m_lost += part.shards() - answered;
     }
 
     void stopWaitingFor(ForwardPart& part)
     {
         if (std::exchange(part.m_waiting, false))
-            stopWaiting(m_state.m_routing, part.m_service, wholeService, m_execution.m_id);
+            stopWaiting(routingOf(part), part.m_service, wholeService, m_execution.m_id);
     }
 
     void takeFailure(std::size_t index, EndpointReply reply)
@@ -151,23 +176,27 @@
     EndpointChoice choose(ForwardPart& part, CallKind kind)
     {
         static const std::vector<EndpointIndex> none;
-        const auto& members = m_state.m_routing.m_table.m_members;
+        RoutingState& routing = routingOf(part);
+        const auto& members = routing.m_table.m_members;
         const auto found = members.find(part.m_service);
         const std::vector<EndpointIndex>& replicas = found == members.end() ? none : found->second;
         const bool hedge = kind == CallKind::Hedge;
-        const PlacementRequest request { m_route, replicas, part.m_tried, hedge };
-        EndpointChoice choice = placeCall(m_state, request, m_now);
+        const PlacementRequest request { typicalLatency(m_state, m_route), replicas, part.m_tried, hedge };
+        EndpointChoice choice = placeCall(routing, request, m_state.m_random, m_now);
         if (choice.m_endpoint || hedge || part.m_tried.empty() || choice.m_busy)
             return choice;
         // All others have failed too, so that one that was tried may be asked once more.
         part.m_tried.clear();
-        return placeCall(m_state, request, m_now);
+        return placeCall(routing, request, m_state.m_random, m_now);
     }
 
     // Hedges leave a part of the budget to retries, without which a request fails.
     bool mayAddLoad(const ForwardPart& part, CallKind kind)
     {
-        ExtraLoadBudget& budget = forwardStats(m_state, part.m_service).m_budget;
+        // A merging VM that is asked again sends the calls of its whole group again; all its shards have one budget's
+        // load.
+        ExtraLoadBudget& budget
+            = forwardStats(m_state, part.m_group.empty() ? part.m_service : part.m_group.front()).m_budget;
         if (kind == CallKind::Hedge && budget.m_tokens < 1.0 + budget.m_burst * m_state.m_settings.m_retryReserve)
             return false;
         return spendExtraLoad(budget);
@@ -184,7 +213,7 @@
         if (kind == CallKind::Hedge)
             return;
         if (choice.m_busy) {
-            waitForShard(m_state.m_routing, part.m_service, wholeService, m_execution.m_id);
+            waitForShard(routingOf(part), part.m_service, wholeService, m_execution.m_id);
             part.m_waiting = true;
             return;
         }
@@ -201,34 +230,53 @@
         stopWaitingFor(part);
         const AttemptNumber number(static_cast<std::uint32_t>(m_execution.m_calls.size()));
         m_execution.m_calls.push_back(
-            { index, beginAttempt(m_state.m_routing, endpoint, false, m_now), kind == CallKind::Hedge });
+            { index, beginAttempt(routingOf(part), endpoint, false, m_now), kind == CallKind::Hedge });
         part.m_tried.push_back(endpoint);
         ++part.m_openCalls;
         ++part.m_mayHaveRun;
         part.m_retryAt = MonotonicTime::max();
-        part.m_hedgeAt = mayRepeat() && part.m_mayHaveRun < m_route.m_maxAttempts
+        // A merging VM hedges by itself; two of them together would ask too many endpoints of a shard.
+        part.m_hedgeAt = mayRepeat() && part.m_group.empty() && part.m_mayHaveRun < m_route.m_maxAttempts
             ? m_now + forwardHedgeDelay(m_state, m_route)
             : MonotonicTime::max();
         const ForwardRequest& request = m_execution.m_request;
         EndpointCall call;
-        addressCall(m_state.m_routing, endpoint, call);
-        call.m_method = request.m_method;
-        call.m_host = request.m_host;
-        call.m_path = request.m_target;
-        call.m_fields = request.m_fields;
-        call.m_body = request.m_body;
+        addressCall(routingOf(part), endpoint, call);
+        if (part.m_group.empty()) {
+            call.m_method = request.m_method;
+            call.m_host = request.m_host;
+            call.m_path = request.m_target;
+            call.m_fields = request.m_fields;
+            call.m_body = request.m_body;
+        } else {
+            call.m_path = "/merge";
+            call.m_body = encodeMergeCall(request, part.m_group, attemptsLeft(part), goalLeftForMerger());
+        }
         call.m_request = request.m_id;
         call.m_attempt = number;
         call.m_deadline = m_execution.m_deadline;
         call.m_freshConnection = !mayRepeat();
         call.m_provenConnection = kind != CallKind::First;
-        m_effects.m_sends.push_back({ number, std::move(call), kind == CallKind::Hedge });
+        m_effects.m_sends.push_back({ number, std::move(call), kind == CallKind::Hedge, !part.m_group.empty() });
+    }
+
+    // A merging VM that was lost may have asked one endpoint of each shard.
+    std::uint32_t attemptsLeft(const ForwardPart& part) const
+    {
+        const std::uint32_t allowed = std::max(1U, m_route.m_maxAttempts);
+        return part.m_mayHaveRun > 1 ? 1U : allowed;
     }
 
-    void wakeWaiting(EndpointIndex endpoint)
+    Milliseconds goalLeftForMerger() const
     {
-        const auto waiting = longestWaiting(m_state.m_routing, endpoint);
-        if (waiting && canTakeCall(m_state.m_routing, endpoint, m_now))
+        const MonotonicTime until = std::min(m_execution.m_goalAt, m_execution.m_deadline);
+        return std::chrono::duration_cast<Milliseconds>(until - m_now) - m_state.m_settings.m_mergeReserve;
+    }
+
+    void wakeWaiting(RoutingState& routing, EndpointIndex endpoint)
+    {
+        const auto waiting = longestWaiting(routing, endpoint);
+        if (waiting && canTakeCall(routing, endpoint, m_now))
             m_effects.m_wake.push_back(*waiting);
     }
 
@@ -264,8 +312,9 @@
     return route.m_targets.back().m_service;
 }
 
-void setTimes(const ForwardSettings& settings, ForwardExecution& execution)
+void setTimes(const ForwardState& state, ForwardExecution& execution)
 {
+    const ForwardSettings& settings = state.m_settings;
     const ForwardRequest& request = execution.m_request;
     const Route& route = *request.m_route;
     Milliseconds allowed = route.m_timeout;
@@ -274,11 +323,15 @@
     // A short time is not used up by the reserve.
     allowed -= std::min(settings.m_deadlineReserve, allowed / 4);
     execution.m_deadline = request.m_receivedAt + allowed;
+    if (request.m_partOfGoal) {
+        execution.m_goalAt = request.m_receivedAt + *request.m_partOfGoal;
+        return;
+    }
     if (route.m_goal.count() == 0)
         return;
-    const Milliseconds reserve
-        = settings.m_answerReserve + (request.m_newConnection ? settings.m_connectReserve : Milliseconds(0));
-    execution.m_goalAt = request.m_receivedAt + std::max(route.m_goal - reserve, route.m_goal / 2);
+    const Microseconds reserve = state.m_goalLag + settings.m_answerReserve
+        + (request.m_newConnection ? settings.m_connectReserve : Milliseconds(0));
+    execution.m_goalAt = request.m_receivedAt + std::max<Microseconds>(route.m_goal - reserve, route.m_goal / 2);
 }
 
 } // namespace
@@ -286,14 +339,23 @@
 ForwardEffects startForward(ForwardState& state, ForwardExecution& execution, MonotonicTime now)
 {
     const Route& route = *execution.m_request.m_route;
-    setTimes(state.m_settings, execution);
+    setTimes(state, execution);
     if (route.m_shards.empty()) {
         execution.m_parts.emplace_back();
         execution.m_parts.back().m_service = drawTarget(route, state.m_random);
     }
-    for (const ServiceName& shard : route.m_shards) {
-        execution.m_parts.emplace_back();
-        execution.m_parts.back().m_service = shard;
+    if (!execution.m_request.m_partOfGoal && usesMergers(state, route)) {
+        std::vector<std::vector<ServiceName>> groups = mergeGroups(route.m_shards, state.m_settings.m_groupShards);
+        for (std::size_t group = 0; group < groups.size(); ++group) {
+            execution.m_parts.emplace_back();
+            execution.m_parts.back().m_service = mergeGroupName(group);
+            execution.m_parts.back().m_group = std::move(groups[group]);
+        }
+    } else {
+        for (const ServiceName& shard : route.m_shards) {
+            execution.m_parts.emplace_back();
+            execution.m_parts.back().m_service = shard;
+        }
     }
     Step step(state, execution, now);
     step.start();
@@ -324,7 +386,8 @@
     execution.m_finished = true;
     for (ForwardPart& part : execution.m_parts) {
         if (std::exchange(part.m_waiting, false))
-            stopWaiting(state.m_routing, part.m_service, wholeService, execution.m_id);
+            stopWaiting(
+                part.m_group.empty() ? state.m_routing : state.m_mergers, part.m_service, wholeService, execution.m_id);
     }
 }
 
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -20,7 +20,8 @@
         Lost, // no further attempt will be made
     };
 
-    ServiceName m_service;
+    ServiceName m_service; // of the endpoints, or of the VMs that own the group
+    std::vector<ServiceName> m_group; // shards that a merging VM is asked for; empty for a single service
     State m_state = State::Open;
     std::uint32_t m_openCalls = 0;
     std::uint32_t m_mayHaveRun = 0; // calls that ran or may have run
@@ -30,6 +31,10 @@
     MonotonicTime m_retryAt = MonotonicTime::max(); // no call is open before this time
     bool m_waiting = false; // entered at the routing state for a free endpoint
     std::optional<EndpointReply> m_reply; // the answer, or the last failure of an endpoint
+    std::vector<std::string> m_receipts; // of the shards that are answered
+    std::string m_records; // of these shards
+
+    std::uint32_t shards() const { return m_group.empty() ? 1U : static_cast<std::uint32_t>(m_group.size()); }
 };
 
 /** One call of an execution. */
@@ -47,8 +52,9 @@
     MonotonicTime m_goalAt = MonotonicTime::max(); // from then on an answer that reaches the floor goes out
     std::vector<ForwardPart> m_parts;
     std::vector<ForwardCall> m_calls; // by attempt number
-    std::uint32_t m_answered = 0;
-    std::uint32_t m_lost = 0;
+    std::uint32_t m_shards = 0;
+    std::uint32_t m_answered = 0; // shards
+    std::uint32_t m_lost = 0; // shards
     bool m_finished = false;
 };
 
@@ -58,6 +64,7 @@
         AttemptNumber m_attempt;
         EndpointCall m_call;
         bool m_hedge = false;
+        bool m_toMerger = false; // to a merging VM, not to an endpoint
     };
 
     std::vector<Send> m_sends;
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -16,7 +16,7 @@
 {
     ForwardAnswer answer;
     answer.m_id = execution.m_request.m_id;
-    answer.m_shards = static_cast<std::uint32_t>(execution.m_parts.size());
+    answer.m_shards = execution.m_shards;
     answer.m_missingShards = answer.m_shards - execution.m_answered;
     answer.m_calls = static_cast<std::uint32_t>(execution.m_calls.size());
     return answer;
@@ -42,8 +42,8 @@
     for (const ForwardPart& part : execution.m_parts) {
         if (part.m_state != ForwardPart::State::Answered)
             continue;
-        bodies.push_back(part.m_reply->m_body);
-        answer.m_receipts.push_back(part.m_reply->m_receipt);
+        bodies.push_back(part.m_records);
+        answer.m_receipts.insert(answer.m_receipts.end(), part.m_receipts.begin(), part.m_receipts.end());
     }
     answer.m_body = mergeRecords(bodies, execution.m_request.m_route->m_topRecords);
     return answer;
@@ -79,7 +79,7 @@
 
 std::uint32_t floorOf(const ForwardExecution& execution)
 {
-    const double exact = execution.m_request.m_route->m_shardFloor * double(execution.m_parts.size());
+    const double exact = execution.m_request.m_route->m_shardFloor * double(execution.m_shards);
     // A product such as 0.89 * 100 must not round up past the whole number that it stands for.
     constexpr double tolerance = 1e-9;
     return std::max(1U, static_cast<std::uint32_t>(std::ceil(exact - tolerance)));
@@ -87,8 +87,9 @@
 
 std::optional<ForwardAnswer> decideShards(const ForwardExecution& execution, MonotonicTime now)
 {
-    const auto shards = static_cast<std::uint32_t>(execution.m_parts.size());
-    const std::uint32_t floor = floorOf(execution);
+    const std::uint32_t shards = execution.m_shards;
+    const bool partOnly = execution.m_request.m_partOfGoal.has_value();
+    const std::uint32_t floor = partOnly ? 0 : floorOf(execution);
     if (shards - execution.m_lost < floor)
         return fail(execution, "too few shards can be reached");
     const bool complete = execution.m_answered + execution.m_lost == shards;
@@ -118,6 +119,15 @@
 
 } // namespace
 
+CallVerdict mergeVerdict(const EndpointReply& reply, bool wellFormed)
+{
+    if (reply.m_outcome != CallOutcome::Answered)
+        return verdictOf(reply);
+    if (reply.m_notRun)
+        return CallVerdict::Shed;
+    return wellFormed ? CallVerdict::Answered : CallVerdict::Failed;
+}
+
 CallVerdict forwardVerdict(const ForwardRequest& request, const Route& route, const EndpointReply& reply)
 {
     if (reply.m_outcome != CallOutcome::Answered)
--- a/src/libflamingo/forward/forwardfinish.h
+++ b/src/libflamingo/forward/forwardfinish.h
@@ -4,6 +4,9 @@
 
 namespace flamingo {
 
+/** Returns what a reply says about a merging VM. */
+CallVerdict mergeVerdict(const EndpointReply& reply, bool wellFormed);
+
 /** Returns what a reply says about its endpoint and whether it answers the request. */
 CallVerdict forwardVerdict(const ForwardRequest& request, const Route& route, const EndpointReply& reply);
 
--- a/src/libflamingo/forward/forwardsettings.h
+++ b/src/libflamingo/forward/forwardsettings.h
@@ -2,6 +2,9 @@
 
 #include "base/time.h"
 
+#include <cstddef>
+#include <cstdint>
+
 namespace flamingo {
 
 /** Constants of forwarding. */
@@ -21,11 +24,19 @@
 
     // An answer leaves this long before the goal, for its way to the caller and the time that merging takes; on a
     // new connection the caller has also waited for its opening.
-    Milliseconds m_answerReserve { 8 };
+    Milliseconds m_answerReserve { 10 };
     Milliseconds m_connectReserve { 6 };
     // An answer leaves this long before the caller stops waiting.
     Milliseconds m_deadlineReserve { 15 };
 
+    // Fan-outs over at least this many shards are merged in two levels, in groups of about the number below: with
+    // the square root of the shards both levels cost about the same.
+    std::size_t m_mergeFromShards = 48;
+    std::size_t m_groupShards = 10;
+    std::uint16_t m_mergePort = 0; // of merging VMs, the same on all; 0 for a single level
+    // A merging VM answers this long before the entry VM has to.
+    Milliseconds m_mergeReserve { 6 };
+
     Milliseconds m_shortestRetryAfter { 100 }; // in a refusal
     // In a refusal for want of a configuration: a control leader is elected within about this time.
     Milliseconds m_controlRetryAfter { 1000 };
--- a/src/libflamingo/forward/forwardstate.cpp
+++ b/src/libflamingo/forward/forwardstate.cpp
@@ -1,5 +1,7 @@
 #include "forward/forwardstate.h"
 
+#include "forward/mergeplan.h"
+
 #include <algorithm>
 
 namespace flamingo {
@@ -46,6 +48,7 @@
     routing.m_latencyWeight = latencyWeight;
     routing.m_memoryHalfLife = memoryHalfLife;
     state.m_routing = makeRoutingState(routing);
+    state.m_mergers = makeRoutingState(routing);
     return state;
 }
 
@@ -59,12 +62,16 @@
     state.m_header = published->m_routeHeader;
     forgetLatencies(state, *published);
     applyPublishedState(state.m_routing, std::move(published), now, changes);
+    updateMergers(state, now);
 }
 
 ServiceStats& forwardStats(ForwardState& state, const ServiceName& service)
 {
     ServiceStats& stats = serviceStats(state.m_routing, service);
-    const double vms = std::max<double>(1.0, double(state.m_routing.m_table.m_vmHashes.size()));
+    const RoutingTable& table = state.m_routing.m_table;
+    const auto sharers = table.m_sharers.find(service);
+    const std::size_t sharing = sharers != table.m_sharers.end() ? sharers->second : table.m_vmHashes.size();
+    const double vms = std::max<double>(1.0, double(sharing));
     stats.m_budget.m_fraction = state.m_settings.m_extraLoadShare;
     // A VM must be able to send one extra call, however many VMs share the number.
     const double burst = std::max(1.0, state.m_settings.m_extraLoadCalls / vms);
--- a/src/libflamingo/forward/forwardstate.h
+++ b/src/libflamingo/forward/forwardstate.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace flamingo {
 
@@ -19,6 +20,15 @@
     ForwardSettings m_settings;
     std::map<RouteKey, LatencyDistribution> m_latencies; // of the calls of each route
     RandomEngine m_random;
+
+    // Second level of fan-outs, kept by updateMergers().
+    RoutingState m_mergers; // owners of each group, as endpoints of the service mergeGroupName()
+    std::size_t m_mergeGroups = 0; // 0 while all fan-outs have a single level
+    std::uint64_t m_mergeSignature = 0; // of the VMs and routes that the owners were worked out from
+    std::set<ServiceName> m_ownShards; // shards of the groups that this VM owns
+
+    // How much later than planned answers have lately left at the goal.
+    Microseconds m_goalLag { 2000 };
 };
 
 /** Returns a state for the VM; routing learns fast, since one of many VMs calls an endpoint a few times a second. */
--- /dev/null
+++ b/src/libflamingo/forward/mergeplan.cpp
@@ -0,0 +1,147 @@
+#include "forward/mergeplan.h"
+
+#include "base/hash.h"
+#include "link/socketaddress.h"
+#include "routing/connectionshare.h"
+
+#include <algorithm>
+
+namespace flamingo {
+
+namespace {
+
+// Owners of a group are at least this many, so that one that is lost leaves a choice.
+constexpr std::size_t fewestOwners = 3;
+// A merging VM takes as many calls at once as its callers send; queueing happens at the endpoints.
+constexpr std::uint32_t mergerSlots = 64;
+
+using VmList = std::vector<const VmRecord*>;
+
+VmList servingVms(const PublishedState& published)
+{
+    VmList vms;
+    for (const auto& [id, vm] : published.m_vms) {
+        if (!vm.m_departed && parseSocketAddress(vm.m_address))
+            vms.push_back(&vm);
+    }
+    return vms;
+}
+
+bool isLarge(const ForwardState& state, const Route& route)
+{
+    return route.m_shards.size() >= state.m_settings.m_mergeFromShards;
+}
+
+std::size_t groupCount(const ForwardState& state, const PublishedState& published)
+{
+    std::size_t largest = 0;
+    for (const auto& [key, route] : published.m_routes) {
+        if (isLarge(state, route))
+            largest = std::max(largest, mergeGroups(route.m_shards, state.m_settings.m_groupShards).size());
+    }
+    return largest;
+}
+
+VmList ownersOf(VmList vms, std::size_t group, std::size_t count)
+{
+    const std::uint64_t key = hashBytes(mergeGroupName(group).value());
+    const auto score = [key](const VmRecord* vm) { return rendezvousScore(key, hashBytes(vm->m_id.value())); };
+    std::sort(vms.begin(), vms.end(), [&score](const VmRecord* a, const VmRecord* b) { return score(a) > score(b); });
+    vms.resize(std::min(count, vms.size()));
+    return vms;
+}
+
+EndpointRecord mergerRecord(const VmRecord& vm, std::size_t group, std::uint16_t port)
+{
+    EndpointRecord record;
+    record.m_id = EndpointId(vm.m_id.value() + "/" + std::to_string(group));
+    record.m_service = mergeGroupName(group);
+    record.m_address = parseSocketAddress(vm.m_address)->address().to_string();
+    record.m_port = port;
+    record.m_dataCentre = vm.m_dataCentre;
+    record.m_incarnation = vm.m_incarnation;
+    record.m_slots = mergerSlots;
+    record.m_connections = mergerSlots;
+    record.m_routed = true;
+    return record;
+}
+
+std::uint64_t signatureOf(const PublishedState& published, const VmList& vms)
+{
+    std::uint64_t signature = published.m_routeHeader.m_version.value();
+    for (const VmRecord* vm : vms)
+        signature = hashBytes(vm->m_id.value(), signature + vm->m_incarnation.value());
+    return signature;
+}
+
+void noteShards(ForwardState& state, const PublishedState& published, std::size_t owners, const std::vector<bool>& own)
+{
+    RoutingTable& table = state.m_routing.m_table;
+    for (const auto& [key, route] : published.m_routes) {
+        if (!isLarge(state, route))
+            continue;
+        const auto groups = mergeGroups(route.m_shards, state.m_settings.m_groupShards);
+        for (std::size_t group = 0; group < groups.size(); ++group) {
+            for (const ServiceName& shard : groups[group]) {
+                table.m_sharers[shard] = static_cast<std::uint32_t>(owners);
+                if (own[group])
+                    state.m_ownShards.insert(shard);
+            }
+        }
+    }
+}
+
+} // namespace
+
+std::vector<std::vector<ServiceName>> mergeGroups(const std::vector<ServiceName>& shards, std::size_t groupShards)
+{
+    std::vector<ServiceName> sorted = shards;
+    std::sort(sorted.begin(), sorted.end());
+    const std::size_t count = std::max<std::size_t>(1, (sorted.size() + groupShards - 1) / groupShards);
+    std::vector<std::vector<ServiceName>> groups(count);
+    for (std::size_t index = 0; index < sorted.size(); ++index)
+        groups[index * count / sorted.size()].push_back(sorted[index]);
+    return groups;
+}
+
+ServiceName mergeGroupName(std::size_t group) { return ServiceName("merge/" + std::to_string(group)); }
+
+bool usesMergers(const ForwardState& state, const Route& route)
+{
+    return state.m_mergeGroups > 0 && isLarge(state, route);
+}
+
+void updateMergers(ForwardState& state, MonotonicTime now)
+{
+    const PublishedState& published = *state.m_routing.m_state;
+    const VmList vms = servingVms(published);
+    const std::uint64_t signature = signatureOf(published, vms);
+    if (signature == state.m_mergeSignature)
+        return;
+    state.m_mergeSignature = signature;
+    const std::size_t groups = groupCount(state, published);
+    RoutingTable& table = state.m_routing.m_table;
+    table.m_sharers.clear();
+    ++table.m_vmGeneration;
+    state.m_ownShards.clear();
+    state.m_mergeGroups = state.m_settings.m_mergePort != 0 && vms.size() >= groups * 2 ? groups : 0;
+    if (state.m_mergeGroups == 0)
+        return;
+    const std::size_t owners = std::max(fewestOwners, (vms.size() + groups - 1) / groups);
+    auto mergers = std::make_shared<PublishedState>();
+    VmRecord self;
+    self.m_id = state.m_routing.m_settings.m_vm;
+    mergers->m_vms[self.m_id] = self;
+    std::vector<bool> own(groups, false);
+    for (std::size_t group = 0; group < groups; ++group) {
+        for (const VmRecord* vm : ownersOf(vms, group, owners)) {
+            own[group] = own[group] || vm->m_id == self.m_id;
+            EndpointRecord record = mergerRecord(*vm, group, state.m_settings.m_mergePort);
+            mergers->m_endpoints[record.m_id] = std::move(record);
+        }
+    }
+    noteShards(state, published, owners, own);
+    applyPublishedState(state.m_mergers, std::move(mergers), now);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/libflamingo/forward/mergewire.cpp
@@ -0,0 +1,172 @@
+#include "forward/mergewire.h"
+
+#include "control/cborwriter.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace flamingo {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char mergePath[] = "/merge";
+constexpr char deadlineField[] = "X-Flamingo-Deadline-Ms";
+constexpr char notRunField[] = "X-Flamingo-Not-Run";
+constexpr std::size_t callFields = 15;
+
+bool isValidCall(const EndpointCall& call) { return call.m_path == mergePath; }
+
+std::string writeCall(const EndpointCall& call, Milliseconds remaining)
+{
+    std::string header = "POST ";
+    header.append(mergePath).append(" HTTP/1.1\r\nHost: ").append(call.m_address).append("\r\n");
+    header.append("Content-Length: ").append(std::to_string(call.m_body.size())).append("\r\n");
+    header.append(deadlineField).append(": ").append(std::to_string(remaining.count())).append("\r\n\r\n");
+    return header;
+}
+
+void readField(EndpointReply& reply, std::string_view name, std::string_view)
+{
+    if (name == notRunField)
+        reply.m_notRun = true;
+}
+
+Milliseconds deadlineOf(const HttpRequest& http)
+{
+    const std::string_view text = findField(http.m_fields, deadlineField);
+    std::uint32_t milliseconds = 0;
+    std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    return Milliseconds(milliseconds);
+}
+
+std::vector<std::string> textsOf(const Json& json) { return json.get<std::vector<std::string>>(); }
+
+// Precondition: the JSON is an array of callFields values. Throws nlohmann::json::exception for a wrong type.
+void readCall(const Json& json, ForwardRequest& request, Route& route, Milliseconds& goalLeft)
+{
+    request.m_id = RequestId(json[0].get<std::string>());
+    request.m_method = json[1].get<std::string>();
+    request.m_host = json[2].get<std::string>();
+    request.m_target = json[3].get<std::string>();
+    const std::vector<std::string> fields = textsOf(json[4]);
+    for (std::size_t index = 0; index + 1 < fields.size(); index += 2)
+        request.m_fields.push_back({ fields[index], fields[index + 1] });
+    request.m_body = json[5].get<std::string>();
+    for (std::string& shard : textsOf(json[6]))
+        route.m_shards.emplace_back(std::move(shard));
+    route.m_topRecords = json[7].get<std::uint32_t>();
+    route.m_maxAttempts = json[8].get<std::uint32_t>();
+    route.m_goal = Milliseconds(json[9].get<std::uint32_t>());
+    goalLeft = Milliseconds(json[10].get<std::uint32_t>());
+    route.m_key.m_host = json[11].get<std::string>();
+    route.m_key.m_pathPrefix = json[12].get<std::string>();
+    route.m_name = json[13].get<std::string>();
+    request.m_version = ConfigurationVersion(json[14].get<std::uint64_t>());
+}
+
+} // namespace
+
+std::string encodeMergeCall(const ForwardRequest& request, const std::vector<ServiceName>& shards,
+    std::uint32_t attempts, Milliseconds goalLeft)
+{
+    const Route& route = *request.m_route;
+    CborWriter writer;
+    writer.array(callFields);
+    writer.text(request.m_id.value());
+    writer.text(request.m_method);
+    writer.text(request.m_host);
+    writer.text(request.m_target);
+    writer.array(request.m_fields.size() * 2);
+    for (const HttpField& field : request.m_fields) {
+        writer.text(field.m_name);
+        writer.text(field.m_value);
+    }
+    writer.text(request.m_body);
+    writer.array(shards.size());
+    for (const ServiceName& shard : shards)
+        writer.text(shard.value());
+    writer.unsignedInteger(route.m_topRecords);
+    writer.unsignedInteger(attempts);
+    writer.unsignedInteger(static_cast<std::uint64_t>(route.m_goal.count()));
+    writer.unsignedInteger(static_cast<std::uint64_t>(std::max<Milliseconds::rep>(goalLeft.count(), 0)));
+    writer.text(route.m_key.m_host);
+    writer.text(route.m_key.m_pathPrefix);
+    writer.text(route.m_name);
+    writer.unsignedInteger(request.m_version.value());
+    return writer.take();
+}
+
+bool decodeMergeCall(const HttpRequest& http, ForwardRequest& request, Reason& reason)
+{
+    reason = Reason { ResultCode::MalformedBody, "not a call for shards" };
+    if (http.m_target != mergePath)
+        return false;
+    const Json json = Json::from_cbor(http.m_body, true, false);
+    if (!json.is_array() || json.size() != callFields)
+        return false;
+    Route route;
+    Milliseconds goalLeft { 0 };
+    try {
+        readCall(json, request, route, goalLeft);
+    } catch (const Json::exception& exception) {
+        reason.m_text = exception.what();
+        return false;
+    }
+    request.m_receivedAt = http.m_receivedAt;
+    request.m_timeLeft = deadlineOf(http);
+    request.m_partOfGoal = goalLeft;
+    route.m_idempotence = Idempotence::Idempotent;
+    route.m_timeout = request.m_timeLeft;
+    request.m_route = std::make_shared<const Route>(std::move(route));
+    return !request.m_route->m_shards.empty() && request.m_timeLeft.count() > 0;
+}
+
+HttpResponse encodeMergeAnswer(const ForwardAnswer& answer)
+{
+    HttpResponse response;
+    if (answer.m_kind != ForwardAnswer::Kind::Merged) {
+        constexpr unsigned unavailable = 503;
+        constexpr unsigned failed = 502;
+        const bool notRun = resultClass(answer.m_code) == ResultClass::NotRun;
+        response.m_status = notRun ? unavailable : failed;
+        if (notRun)
+            response.m_fields.push_back({ notRunField, "1" });
+        return response;
+    }
+    CborWriter writer;
+    writer.array(2);
+    writer.array(answer.m_receipts.size());
+    for (const std::string& receipt : answer.m_receipts)
+        writer.text(receipt);
+    writer.bytes(answer.m_body);
+    response.m_body = writer.take();
+    return response;
+}
+
+std::optional<MergeReply> decodeMergeReply(const std::string& body)
+{
+    const Json json = Json::from_cbor(body, true, false);
+    if (!json.is_array() || json.size() != 2 || !json[0].is_array() || !json[1].is_binary())
+        return std::nullopt;
+    MergeReply reply;
+    for (const Json& receipt : json[0]) {
+        if (!receipt.is_string())
+            return std::nullopt;
+        reply.m_receipts.push_back(receipt.get<std::string>());
+    }
+    const auto& records = json[1].get_binary();
+    reply.m_records.assign(records.begin(), records.end());
+    return reply;
+}
+
+const EndpointProtocol& mergeProtocol()
+{
+    static constexpr EndpointProtocol protocol { isValidCall, writeCall, readField };
+    return protocol;
+}
+
+} // namespace flamingo
--- a/src/libflamingo/forward/placement.cpp
+++ b/src/libflamingo/forward/placement.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // A route's calls are taken to last this long until some have ended.
-constexpr double initialLatency = 5000.0; // µs
+constexpr Microseconds initialLatency { 5000 };
 // What a call to another data centre costs beyond its latency, in bytes that are charged.
 constexpr double remoteCost = 1500.0; // µs
 // A refused or failed call costs the time until another one is sent, and extra load.
@@ -30,28 +30,18 @@
     return halfLife.count() > 0 ? std::exp2(-microseconds(now - since) / microseconds(halfLife)) : 1.0;
 }
 
-double typicalLatency(const ForwardState& state, const Route& route)
+double expectedCost(const RoutingState& routing, EndpointIndex index, double typical, MonotonicTime now)
 {
-    const auto known = state.m_latencies.find(route.m_key);
-    if (known == state.m_latencies.end())
-        return initialLatency;
-    constexpr double median = 0.5;
-    const auto latency = latencyQuantile(known->second, median);
-    return latency ? double(latency->count()) : initialLatency;
-}
-
-double expectedCost(const ForwardState& state, EndpointIndex index, double typical, MonotonicTime now)
-{
-    const EndpointRoute& route = state.m_routing.m_table.m_endpoints[index.value()];
-    const EndpointStats& stats = state.m_routing.m_endpoints[index.value()];
-    const Milliseconds halfLife = state.m_routing.m_settings.m_memoryHalfLife;
+    const EndpointRoute& route = routing.m_table.m_endpoints[index.value()];
+    const EndpointStats& stats = routing.m_endpoints[index.value()];
+    const Milliseconds halfLife = routing.m_settings.m_memoryHalfLife;
     double latency = typical;
     if (stats.m_latency > 0.0)
         latency += (stats.m_latency - typical) * fading(stats.m_latencyAt, now, halfLife);
     latency *= 1.0 + double(stats.m_inFlight) / double(route.m_slots);
-    latency *= 1.0 + coldFactor * (1.0 - rampShare(stats, state.m_routing.m_settings, now));
+    latency *= 1.0 + coldFactor * (1.0 - rampShare(stats, routing.m_settings, now));
     double cost = latency + badCallCost * stats.m_badShare * fading(stats.m_badShareAt, now, halfLife);
-    if (route.m_dataCentre != state.m_routing.m_settings.m_dataCentre)
+    if (route.m_dataCentre != routing.m_settings.m_dataCentre)
         cost += remoteCost;
     const double waiting = microseconds(now - stats.m_progressAt);
     if (stats.m_inFlight > 0 && waiting > std::max(shortestStall, stallLatencies * typical))
@@ -66,10 +56,19 @@
 
 } // namespace
 
-EndpointChoice placeCall(ForwardState& state, const PlacementRequest& request, MonotonicTime now)
+Microseconds typicalLatency(const ForwardState& state, const Route& route)
+{
+    const auto known = state.m_latencies.find(route.m_key);
+    if (known == state.m_latencies.end())
+        return initialLatency;
+    constexpr double median = 0.5;
+    return latencyQuantile(known->second, median).value_or(initialLatency);
+}
+
+EndpointChoice placeCall(
+    RoutingState& routing, const PlacementRequest& request, RandomEngine& random, MonotonicTime now)
 {
-    RoutingState& routing = state.m_routing;
-    const double typical = typicalLatency(state, request.m_route);
+    const auto typical = static_cast<double>(request.m_typicalLatency.count());
     std::uniform_real_distribution<double> noise(1.0 - jitter, 1.0 + jitter);
     EndpointChoice choice;
     std::optional<EndpointIndex> lastResort;
@@ -89,7 +88,7 @@
         } else if (!canTakeCall(routing, index, now)) {
             choice.m_busy = true;
         } else {
-            const double cost = expectedCost(state, index, typical, now) * noise(state.m_random);
+            const double cost = expectedCost(routing, index, typical, now) * noise(random);
             if (!choice.m_endpoint || cost < least) {
                 choice.m_endpoint = index;
                 least = cost;
--- a/src/libflamingo/forward/placement.h
+++ b/src/libflamingo/forward/placement.h
@@ -8,7 +8,7 @@
 
 /** What a call needs of an endpoint. */
 struct PlacementRequest {
-    const Route& m_route;
+    Microseconds m_typicalLatency { 0 }; // of such calls
     const std::vector<EndpointIndex>& m_replicas; // endpoints of the service
     const std::vector<EndpointIndex>& m_excluded; // tried already
     bool m_hedge = false; // must not go to an endpoint that is taken for lost
@@ -25,6 +25,10 @@
  * Load that this answers: replicas that pause, that are slowed down or that refuse a part of their calls, while the
  * other replica of the shard works.
  */
-EndpointChoice placeCall(ForwardState& state, const PlacementRequest& request, MonotonicTime now);
+EndpointChoice placeCall(
+    RoutingState& routing, const PlacementRequest& request, RandomEngine& random, MonotonicTime now);
+
+/** Returns how long a call of the route lasts as a rule. */
+Microseconds typicalLatency(const ForwardState& state, const Route& route);
 
 } // namespace flamingo
--- a/src/libflamingo/http/httpserver.cpp
+++ b/src/libflamingo/http/httpserver.cpp
@@ -225,6 +225,11 @@
         m_request.m_receivedAt = monotonicNow();
         m_request.m_newConnection = !m_served;
         m_served = true;
+        // A process that stood still finds requests whose callers have given up meanwhile.
+        if (m_buffer.size() == 0 && callerHasLeft()) {
+            close();
+            return;
+        }
         m_state = State::Handling;
         ++m_server->m_counters.m_requests;
         ++m_server->m_counters.m_requestsInFlight;
@@ -239,15 +244,18 @@
         if (m_buffer.size() > 0)
             return;
         m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-            if (error || self->m_state != State::Handling)
-                return;
-            char byte = 0;
-            const ssize_t count = ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            if (count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR))
+            if (!error && self->m_state == State::Handling && self->callerHasLeft())
                 self->close();
         });
     }
 
+    bool callerHasLeft()
+    {
+        char byte = 0;
+        const ssize_t count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+    }
+
     void write(HttpResponse response, bool close)
     {
         m_state = State::Writing;
--- a/src/libflamingo/routing/routingtable.cpp
+++ b/src/libflamingo/routing/routingtable.cpp
@@ -379,7 +379,10 @@
 {
     EndpointRoute& route = routeAt(table, endpoint);
     if (route.m_shareGeneration != table.m_vmGeneration) {
-        route.m_share = connectionShare(route.m_connections, table.m_vmHash, table.m_vmHashes, route.m_idHash);
+        const auto sharers = table.m_sharers.find(route.m_service);
+        route.m_share = sharers != table.m_sharers.end()
+            ? std::max(1U, route.m_connections / std::max(1U, sharers->second))
+            : connectionShare(route.m_connections, table.m_vmHash, table.m_vmHashes, route.m_idHash);
         route.m_shareGeneration = table.m_vmGeneration;
     }
     return route.m_share;
--- a/src/libflamingo/routing/routingtable.h
+++ b/src/libflamingo/routing/routingtable.h
@@ -68,6 +68,8 @@
     std::unordered_map<ServiceName, std::vector<EndpointIndex>> m_members; // by the service that endpoints name
     std::map<ServiceName, ServiceRoutes> m_services;
     std::unordered_map<ServiceName, std::uint32_t> m_routedConnections; // accepted by each endpoint of the service
+    // VMs that share the connections of a service's endpoints, where these are not all VMs.
+    std::unordered_map<ServiceName, std::uint32_t> m_sharers;
     std::uint64_t m_layoutsSeen = 0;
     std::uint64_t m_vmHash = 0; // of this daemon's name
     std::vector<std::uint64_t> m_vmHashes; // of admitted VMs, those that left lately included
--- a/src/libflamingo/settings/settings.h
+++ b/src/libflamingo/settings/settings.h
@@ -45,6 +45,7 @@
     // How long the VM goes on serving the last state that a leader confirmed when it reaches none.
     Milliseconds m_staleLimit { 60000 };
     Milliseconds m_drainWait { 3000 }; // time in which the load balancer notices that the VM shuts down
+    std::uint16_t m_mergePort = 0; // for calls of other VMs for shards, the same on all VMs; 0 for none
     // Limits of extra calls to a service: a share of its requests, and a number beside it for all VMs together.
     double m_extraLoadShare = 0.2;
     std::uint32_t m_extraLoadCalls = 100;
--- a/src/libflamingo/settings/settingsreader.cpp
+++ b/src/libflamingo/settings/settingsreader.cpp
@@ -73,6 +73,7 @@
     section.address("health", routes.m_health);
     section.duration("stale_limit", shortestLimit, longestGrace, routes.m_staleLimit);
     section.duration("drain_wait", Milliseconds(0), longestGrace, routes.m_drainWait);
+    section.port("merge_port", routes.m_mergePort);
     section.fraction("extra_load_share", routes.m_extraLoadShare);
     section.number("extra_load_calls", 0U, largestCount, routes.m_extraLoadCalls);
     section.finish();
