Bound the calls that an endpoint has in flight from all VMs together

Each VM now takes its part of four calls a slot; the rest waits at the VMs. An ejection lasts at most 4 s.

--- a/src/libflamingo/forward/forwardstate.cpp
+++ b/src/libflamingo/forward/forwardstate.cpp
@@ -13,6 +13,10 @@
 // Three calls show that an endpoint has become slow, and a few seconds without calls that it may have recovered.
 constexpr double latencyWeight = 0.3;
 constexpr Milliseconds memoryHalfLife { 2000 };
+// An endpoint that was lost is back within seconds, and a call to one that is not costs little.
+constexpr Milliseconds longestEjection { 4000 };
+// Enough to keep an endpoint busy while answers travel, and less than its queue holds.
+constexpr double callsPerSlot = 4.0;
 
 void replaceRoutes(ForwardState& state, const PublishedState& published)
 {
@@ -47,8 +51,10 @@
     routing.m_dataCentre = dataCentre;
     routing.m_latencyWeight = latencyWeight;
     routing.m_memoryHalfLife = memoryHalfLife;
-    state.m_routing = makeRoutingState(routing);
+    routing.m_longestEjection = longestEjection;
     state.m_mergers = makeRoutingState(routing);
+    routing.m_callsPerSlot = callsPerSlot;
+    state.m_routing = makeRoutingState(routing);
     return state;
 }
 
@@ -68,10 +74,7 @@
 ServiceStats& forwardStats(ForwardState& state, const ServiceName& service)
 {
     ServiceStats& stats = serviceStats(state.m_routing, service);
-    const RoutingTable& table = state.m_routing.m_table;
-    const auto sharers = table.m_sharers.find(service);
-    const std::size_t sharing = sharers != table.m_sharers.end() ? sharers->second : table.m_vmHashes.size();
-    const double vms = std::max<double>(1.0, double(sharing));
+    const double vms = sharingVms(state.m_routing.m_table, service);
     stats.m_budget.m_fraction = state.m_settings.m_extraLoadShare;
     // A VM must be able to send one extra call, however many VMs share the number.
     const double burst = std::max(1.0, state.m_settings.m_extraLoadCalls / vms);
--- a/src/libflamingo/routing/endpointchoice.cpp
+++ b/src/libflamingo/routing/endpointchoice.cpp
@@ -1,6 +1,7 @@
 #include "routing/endpointchoice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <array>
 #include <cmath>
 
@@ -34,8 +35,14 @@
 
 std::uint32_t callBound(RoutingState& routing, EndpointIndex index)
 {
-    const std::uint32_t slots = routeOf(routing, index).m_slots + routing.m_settings.m_callsBeyondSlots;
-    return std::min(slots, endpointShare(routing.m_table, index));
+    const EndpointRoute& route = routeOf(routing, index);
+    std::uint32_t bound = route.m_slots + routing.m_settings.m_callsBeyondSlots;
+    if (routing.m_settings.m_callsPerSlot > 0.0) {
+        const double all = routing.m_settings.m_callsPerSlot * route.m_slots;
+        const auto part = static_cast<std::uint32_t>(std::ceil(all / sharingVms(routing.m_table, route.m_service)));
+        bound = std::min(bound, std::max(1U, part));
+    }
+    return std::min(bound, endpointShare(routing.m_table, index));
 }
 
 bool isFull(RoutingState& routing, EndpointIndex index)
--- a/src/libflamingo/routing/routingsettings.h
+++ b/src/libflamingo/routing/routingsettings.h
@@ -25,6 +25,10 @@
     // load of 0.4 (policybench); with four, waiting moves to the endpoints and the p99 rises again.
     std::uint32_t m_callsBeyondSlots = 1;
 
+    // Calls in flight that an endpoint gets from all VMs together, for each of its slots; 0 for no such bound. What is
+    // beyond waits at the VMs, which can still send it elsewhere, and not in the endpoint's queue.
+    double m_callsPerSlot = 0.0;
+
     // An endpoint in another data centre is used when the local ones take this factor longer and
     // also this much longer.
     double m_spillFactor = 2.0;
--- a/src/libflamingo/routing/routingtable.cpp
+++ b/src/libflamingo/routing/routingtable.cpp
@@ -375,6 +375,13 @@
     finish(table, state);
 }
 
+std::uint32_t sharingVms(const RoutingTable& table, const ServiceName& service)
+{
+    const auto sharers = table.m_sharers.find(service);
+    const auto all = static_cast<std::uint32_t>(table.m_vmHashes.size());
+    return std::max(1U, sharers != table.m_sharers.end() ? sharers->second : all);
+}
+
 std::uint32_t endpointShare(RoutingTable& table, EndpointIndex endpoint)
 {
     EndpointRoute& route = routeAt(table, endpoint);
--- a/src/libflamingo/routing/routingtable.h
+++ b/src/libflamingo/routing/routingtable.h
@@ -102,6 +102,9 @@
  */
 std::uint32_t endpointShare(RoutingTable& table, EndpointIndex endpoint);
 
+/** Returns how many VMs connect to the endpoints of the service; at least 1. */
+std::uint32_t sharingVms(const RoutingTable& table, const ServiceName& service);
+
 /** Returns the routes of the service, or null. The pointer is valid until the next change of the table. */
 const ServiceRoutes* findService(const RoutingTable& table, const ServiceName& service);
 
