--- a/src/libflamingo/consensus/tests/membershiptest.cpp
+++ b/src/libflamingo/consensus/tests/membershiptest.cpp
@@ -210,3 +210,47 @@
     }
     REQUIRE(cluster.m_violation.empty());
 }
+
+// Guards against VMs that the seeds do not know staying outside, and against a lost one that counts for the majority.
+TEST_CASE("With open membership VMs join without an invitation")
+{
+    TestCluster cluster(3, 11);
+    cluster.m_openMembership = true;
+    cluster.addVm();
+    cluster.addVm();
+    cluster.startAll();
+    REQUIRE(cluster.awaitLeader());
+    REQUIRE(cluster.runUntil([&] { return cluster.repaired(); }));
+    REQUIRE(cluster.proposeAndAwait("with five"));
+
+    SECTION("a replacement at another address takes over the vote of one that is gone")
+    {
+        const int lost = (cluster.leader() + 1) % 5;
+        cluster.crash(lost);
+        cluster.addVm();
+        cluster.start(5);
+        REQUIRE(cluster.runUntil([&] { return cluster.leader() >= 0 && cluster.repaired(); }));
+
+        SECTION("so that two further losses are borne")
+        {
+            int more = 0;
+            for (int vm = 0; vm < 6 && more < 2; ++vm) {
+                if (vm == lost)
+                    continue;
+                cluster.crash(vm);
+                ++more;
+            }
+            REQUIRE(cluster.awaitLeader());
+            REQUIRE(cluster.proposeAndAwait("with three of five"));
+        }
+    }
+    SECTION("one that is silent for a while keeps its vote as long as the number is odd")
+    {
+        const int silent = (cluster.leader() + 1) % 5;
+        cluster.isolate(silent);
+        cluster.run(Milliseconds(10'000));
+        cluster.heal();
+        REQUIRE(cluster.runUntil([&] { return cluster.repaired(); }));
+    }
+    REQUIRE(cluster.m_violation.empty());
+}
--- a/src/libflamingo/consensus/tests/testcluster.cpp
+++ b/src/libflamingo/consensus/tests/testcluster.cpp
@@ -99,6 +99,7 @@
     settings.m_vm = m_vms[vm].m_vm;
     settings.m_address = m_vms[vm].m_address;
     settings.m_initialMembers = m_initial;
+    settings.m_openMembership = m_openMembership;
     settings.m_bootstrapAllowed = vm < static_cast<int>(m_initial.size());
     settings.m_seed = m_random();
     settings.m_snapshotInterval = m_snapshotInterval;
--- a/src/libflamingo/consensus/tests/testcluster.h
+++ b/src/libflamingo/consensus/tests/testcluster.h
@@ -105,6 +105,7 @@
     Milliseconds m_maxDelay { 5 };
     std::uint64_t m_snapshotInterval = 256;
     bool m_batching = false; // proposals wait for the next tick
+    bool m_openMembership = false;
     RaftOptions m_options;
     std::string m_violation;
     std::uint64_t m_framesSent = 0;
--- a/src/libflamingo/daemon/controlapi.cpp
+++ b/src/libflamingo/daemon/controlapi.cpp
@@ -78,7 +78,7 @@
 }
 
 void ControlApi::submitNext(
-    const ExchangePtr& exchange, std::shared_ptr<std::vector<CommandBody>> commands, std::size_t next)
+    const ExchangePtr& exchange, const std::shared_ptr<std::vector<CommandBody>>& commands, std::size_t next)
 {
     if (next == commands->size()) {
         answer(*exchange, ResultCode::Ok);
--- a/src/libflamingo/daemon/controlapi.h
+++ b/src/libflamingo/daemon/controlapi.h
@@ -47,7 +47,8 @@
     void handle(const ExchangePtr& exchange, RoutesUpload& upload);
     void handle(const ExchangePtr& exchange, const RoutesRead& read);
     void carryOut(const ExchangePtr& exchange, const EndpointId& endpoint, const HeartbeatDecision& decision);
-    void submitNext(const ExchangePtr& exchange, std::shared_ptr<std::vector<CommandBody>> commands, std::size_t next);
+    void submitNext(
+        const ExchangePtr& exchange, const std::shared_ptr<std::vector<CommandBody>>& commands, std::size_t next);
     void answer(HttpExchange& exchange, ResultCode code, std::string text = {});
     std::string leaderApi() const;
 
--- a/src/libflamingo/daemon/statementexecutor.cpp
+++ b/src/libflamingo/daemon/statementexecutor.cpp
@@ -202,6 +202,12 @@
         answer.m_text = "this VM has not received the configuration yet";
         return answer;
     }
+    // A VM that was frozen finds statements from meanwhile, and its state may be older than what is in force.
+    if (!m_control.m_lease->valid(monotonicNow())) {
+        answer.m_code = ResultCode::NoLease;
+        answer.m_text = "this VM holds no valid lease, so its configuration may be out of date";
+        return answer;
+    }
     answer.m_revision = state->m_revision;
     answer.m_version = state->m_configurationVersion;
     answer.m_rows = stateRows(*state, statement);
--- /dev/null
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -0,0 +1,204 @@
+#include "forward/mergeplan.h"
+#include "forward/mergewire.h"
+#include "forward/recordmerge.h"
+#include "forward/tests/forwardfixture.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <set>
+
+using namespace flamingo;
+
+namespace {
+
+constexpr int shardCount = 60;
+constexpr int vmCount = 30;
+
+/** A VM among others that merge large fan-outs in two levels. */
+struct MergeFixture : ForwardFixture {
+    MergeFixture()
+        : ForwardFixture(shardCount)
+    {
+        m_state.m_settings.m_mergePort = 7000;
+        for (int number = 0; number < vmCount; ++number) {
+            VmRecord vm;
+            vm.m_id = number == 0 ? VmId("vm") : VmId("vm" + std::to_string(number));
+            vm.m_address = "10.0.0." + std::to_string(number + 1) + ":80";
+            m_published.m_vms[vm.m_id] = vm;
+        }
+        m_published.m_routes[m_fanOut.m_key] = m_fanOut;
+        m_fanOut.m_shardFloor = 0.9;
+        apply();
+    }
+
+    std::size_t owners(std::size_t group) const
+    {
+        return m_state.m_mergers.m_table.m_members.at(mergeGroupName(group)).size();
+    }
+
+    static EndpointReply merged(const EndpointCall& call, std::size_t answered)
+    {
+        HttpRequest http;
+        http.m_target = call.m_path;
+        http.m_body = call.m_body;
+        http.m_fields.push_back({ "X-Flamingo-Deadline-Ms", "500" });
+        ForwardRequest request;
+        Reason reason;
+        REQUIRE(decodeMergeCall(http, request, reason));
+        ForwardAnswer answer;
+        answer.m_kind = ForwardAnswer::Kind::Merged;
+        for (const ServiceName& shard : request.m_route->m_shards) {
+            if (answer.m_receipts.size() < answered)
+                answer.m_receipts.push_back("receipt-" + shard.value());
+        }
+        answer.m_body = std::string(recordBytes, 'x');
+        EndpointReply reply;
+        reply.m_outcome = CallOutcome::Answered;
+        reply.m_status = 200;
+        reply.m_body = encodeMergeAnswer(answer).m_body;
+        return reply;
+    }
+};
+
+} // namespace
+
+TEST_CASE("shards are cut into groups", "[forward]")
+{
+    rc::prop("that hold each shard once and are of nearly equal size, whatever the order of the shards", [] {
+        const auto names = *rc::gen::container<std::set<std::string>>(rc::gen::arbitrary<std::string>());
+        RC_PRE(!names.empty());
+        const auto size = *rc::gen::inRange<std::size_t>(1, 20);
+        std::vector<ServiceName> shards;
+        for (const std::string& name : names)
+            shards.emplace_back(name);
+        const auto groups = mergeGroups(shards, size);
+        std::vector<ServiceName> reversed(shards.rbegin(), shards.rend());
+        RC_ASSERT(mergeGroups(reversed, size) == groups);
+        std::size_t least = shards.size();
+        std::size_t most = 0;
+        std::set<ServiceName> seen;
+        for (const auto& group : groups) {
+            least = std::min(least, group.size());
+            most = std::max(most, group.size());
+            seen.insert(group.begin(), group.end());
+        }
+        RC_ASSERT(seen.size() == shards.size());
+        RC_ASSERT(most - least <= 1U);
+        RC_ASSERT(most <= size);
+    });
+}
+
+TEST_CASE("large fan-outs are merged in two levels", "[forward]")
+{
+    MergeFixture vm;
+    ForwardExecution execution = vm.execution(vm.m_fanOut);
+    const ForwardEffects started = vm.start(execution);
+    REQUIRE(started.m_sends.size() == 6); // groups of ten
+    CHECK(started.m_sends[0].m_toMerger);
+
+    SECTION("each group has owners, and only these share the connections of its endpoints")
+    {
+        for (std::size_t group = 0; group < 6; ++group)
+            CHECK(vm.owners(group) == 5);
+        const EndpointIndex endpoint = vm.m_state.m_routing.m_table.m_positions.at(EndpointId("e0a"));
+        CHECK(endpointShare(vm.m_state.m_routing.m_table, endpoint) == 2); // of 10 among 5 VMs
+    }
+    SECTION("the receipts of all groups are in the answer")
+    {
+        std::optional<ForwardAnswer> answer;
+        for (const auto& send : started.m_sends)
+            answer = vm.reply(execution, send, MergeFixture::merged(send.m_call, 10)).m_answer;
+        REQUIRE(answer);
+        CHECK(answer->m_receipts.size() == shardCount);
+        CHECK(answer->m_missingShards == 0);
+        CHECK(answer->m_body.size() == 2 * recordBytes);
+    }
+    SECTION("guards against a wrong count: shards that a merging VM lacks are missing")
+    {
+        std::optional<ForwardAnswer> answer;
+        for (std::size_t index = 0; index < started.m_sends.size(); ++index) {
+            const auto& send = started.m_sends[index];
+            answer = vm.reply(execution, send, MergeFixture::merged(send.m_call, index == 0 ? 7 : 10)).m_answer;
+        }
+        REQUIRE(answer);
+        CHECK(answer->m_missingShards == 3);
+    }
+    SECTION("guards against too many attempts: a merging VM that was lost leaves one attempt to its successor")
+    {
+        const ForwardEffects retry = vm.reply(execution, started.m_sends[0], ForwardFixture::lost());
+        REQUIRE(retry.m_sends.size() == 1);
+        HttpRequest http;
+        http.m_target = retry.m_sends[0].m_call.m_path;
+        http.m_body = retry.m_sends[0].m_call.m_body;
+        http.m_fields.push_back({ "X-Flamingo-Deadline-Ms", "500" });
+        ForwardRequest request;
+        Reason reason;
+        REQUIRE(decodeMergeCall(http, request, reason));
+        CHECK(request.m_route->m_maxAttempts == 1);
+    }
+    SECTION("a malformed reply of a merging VM is a failure, not an answer")
+    {
+        EndpointReply odd = MergeFixture::merged(started.m_sends[0].m_call, 10);
+        odd.m_body.resize(odd.m_body.size() / 2);
+        CHECK_FALSE(vm.reply(execution, started.m_sends[0], odd).m_answer);
+        CHECK(execution.m_answered == 0);
+    }
+}
+
+TEST_CASE("a merging VM answers at the time it is given", "[forward]")
+{
+    ForwardFixture vm(3);
+    ForwardExecution execution = vm.execution(vm.m_fanOut);
+    execution.m_request.m_partOfGoal = Milliseconds(50);
+    const ForwardEffects started = vm.start(execution);
+    REQUIRE(started.m_sends.size() == 3);
+
+    SECTION("with what it has, also below any floor")
+    {
+        vm.reply(execution, started.m_sends[0], ForwardFixture::success("r"));
+        const auto answer = vm.timer(execution, Milliseconds(50)).m_answer;
+        REQUIRE(answer);
+        CHECK(answer->m_receipts.size() == 1);
+    }
+    SECTION("and with nothing if nothing came")
+    {
+        const auto answer = vm.timer(execution, Milliseconds(50)).m_answer;
+        REQUIRE(answer);
+        CHECK(answer->m_kind == ForwardAnswer::Kind::Merged);
+        CHECK(answer->m_receipts.empty());
+    }
+}
+
+TEST_CASE("small fan-outs and small sites keep a single level", "[forward]")
+{
+    MergeFixture vm;
+    SECTION("a route with few shards")
+    {
+        vm.m_fanOut.m_shards.resize(20);
+        ForwardExecution execution = vm.execution(vm.m_fanOut);
+        CHECK(vm.start(execution).m_sends.size() == 20);
+    }
+    SECTION("a site with few VMs")
+    {
+        while (vm.m_published.m_vms.size() > 8)
+            vm.m_published.m_vms.erase(std::prev(vm.m_published.m_vms.end()));
+        vm.m_published.m_vms[VmId("vm")].m_id = VmId("vm");
+        vm.apply();
+        CHECK_FALSE(usesMergers(vm.m_state, vm.m_fanOut));
+    }
+}
+
+TEST_CASE("calls between VMs are read or refused", "[forward]")
+{
+    rc::prop("whatever the bytes are", [](const std::string& body) {
+        HttpRequest http;
+        http.m_target = "/merge";
+        http.m_body = body;
+        ForwardRequest request;
+        Reason reason;
+        if (!decodeMergeCall(http, request, reason))
+            RC_ASSERT(resultClass(reason.m_code) == ResultClass::BadInput);
+        decodeMergeReply(body);
+    });
+}
--- a/src/libflamingo/settings/tests/settingsreader.cpp
+++ b/src/libflamingo/settings/tests/settingsreader.cpp
@@ -162,3 +162,45 @@
     CHECK(reason.m_code == ResultCode::InvalidSettings);
     CHECK_FALSE(readSettings("/", reason, warnings));
 }
+
+// Guards against a VM of a site that finds its control VMs by address and starts without knowing them.
+TEST_CASE("settings of VMs that forward requests by routes")
+{
+    const std::string vm = "vm: { id: a1, data_centre: north }\n";
+    const std::string seeds = "seeds:\n  addresses: [\"10.0.0.2:8106\", \"10.0.0.3:8106\"]\n  link_port: 7380\n";
+
+    SECTION("an entry VM finds the links of its seeds")
+    {
+        const Outcome outcome = parse(vm
+            + "roles: [routes]\nroutes:\n  listen: 10.0.0.1:8104\n  health: 10.0.0.1:8108\n  merge_port: 7380\n"
+              "  extra_load_share: 0.25\n"
+            + seeds);
+        INFO(outcome.m_reason.m_text);
+        REQUIRE(outcome.m_settings);
+        REQUIRE(outcome.m_settings->m_controlAddresses.size() == 2);
+        CHECK(outcome.m_settings->m_controlAddresses[1].text() == "10.0.0.3:7380");
+        CHECK(outcome.m_settings->m_routes.m_extraLoadShare == 0.25);
+    }
+    SECTION("a control VM needs no list of members beside its seeds")
+    {
+        const Outcome outcome = parse(vm
+            + "roles: [control]\ncontrol:\n  listen: 10.0.0.2:7380\n  api: 10.0.0.2:8106\n  data_folder: /data\n"
+              "  bootstrap: true\n  endpoint_heartbeat: 1200 ms\n"
+            + seeds);
+        INFO(outcome.m_reason.m_text);
+        REQUIRE(outcome.m_settings);
+        CHECK(outcome.m_settings->m_control.m_endpointHeartbeat == Milliseconds(1200));
+    }
+    SECTION("a role without its section, a section without its role and a share above 1 are errors")
+    {
+        CHECK_FALSE(parse(vm + "roles: [routes]\n" + seeds).m_settings);
+        CHECK_FALSE(parse(entryOnly + "routes:\n  listen: 10.0.0.1:1\n  health: 10.0.0.1:2\n").m_settings);
+        CHECK_FALSE(parse(vm
+            + "roles: [routes]\nroutes:\n  listen: 10.0.0.1:1\n  health: 10.0.0.1:2\n  extra_load_share: 1.5\n" + seeds)
+                        .m_settings);
+    }
+    SECTION("without seeds or addresses of control VMs it does not start")
+    {
+        CHECK_FALSE(parse(vm + "roles: [routes]\nroutes:\n  listen: 10.0.0.1:1\n  health: 10.0.0.1:2\n").m_settings);
+    }
+}
--- a/tests/process/processconfiguration.cpp
+++ b/tests/process/processconfiguration.cpp
@@ -162,6 +162,9 @@
         std::vector<std::future<HttpReply>> waiting;
         for (int i = 0; i < 20; ++i)
             waiting.push_back(std::async(std::launch::async, [&] { return tier.query(5, "verses", "x", 1000); }));
+        std::vector<std::future<HttpReply>> reads;
+        for (int i = 0; i < 10; ++i)
+            reads.push_back(std::async(std::launch::async, [&] { return tier.statement(5, "SHOW VERSIONS"); }));
         std::this_thread::sleep_for(300ms);
         // With control frozen too, the VM cannot renew and has to refuse whatever comes.
         for (int vm = 1; vm <= Tier::controlVms; ++vm)
@@ -174,6 +177,12 @@
         for (int vm = 1; vm <= Tier::controlVms; ++vm)
             tier.vm(vm).signal(SIGCONT);
         const auto thawed = Clock::now();
+        // Guards against a read that is answered from the state before the freeze.
+        for (auto& read : reads) {
+            const HttpReply shown = read.get();
+            CHECK((shown.code() == 1001
+                || shown.m_body.at("configuration_version") >= reply.m_body.at("configuration_version")));
+        }
         int refused = 0;
         for (auto& query : waiting)
             refused += query.get().code() == 1001 ? 1 : 0;
