--- a/src/libflamingo/routing/endpointchoice.cpp
+++ b/src/libflamingo/routing/endpointchoice.cpp
@@ -1,7 +1,6 @@
 #include "routing/endpointchoice.h"
 
 #include <algorithm>
-#include <cmath>
 #include <array>
 #include <cmath>
 
