--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -175,7 +175,6 @@
     m_running.erase(running->m_execution.m_id);
     const ForwardRequest& request = running->m_execution.m_request;
     const auto elapsed = monotonicNow() - request.m_receivedAt;
-    m_counters.m_failedCalls += answer.m_code == ResultCode::Ok ? 0 : 1;
     FLAMINGO_LOG(Info, "request answered", { "request_id", request.m_id.value() }, { "route", request.m_route->m_name },
         { "version", std::to_string(request.m_version.value()) },
         { "code", std::to_string(static_cast<int>(answer.m_code)) }, { "status", std::to_string(answer.m_status) },
--- a/src/libflamingo/daemon/forwardrunner.h
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -21,7 +21,6 @@
     std::uint64_t m_requests = 0;
     std::uint64_t m_calls = 0;
     std::uint64_t m_hedges = 0;
-    std::uint64_t m_failedCalls = 0;
     std::uint64_t m_abandoned = 0; // requests whose callers left
 };
 
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -138,14 +138,15 @@
         const bool notRun = provesNotRun(reply) || reply.m_wrongEndpoint;
         if (notRun)
             --part.m_mayHaveRun;
-        if (notRun && reply.m_outcome == CallOutcome::Answered)
-            ++part.m_refused;
+        if (notRun)
+            ++(reply.m_outcome == CallOutcome::Answered ? part.m_refused : part.m_notReached);
         const bool isOwn = reply.m_request.value().empty() || reply.m_request == m_execution.m_request.m_id;
         if (reply.m_outcome == CallOutcome::Answered && isOwn)
             part.m_reply = std::move(reply);
         if (part.m_openCalls > 0)
             return; // another call of the part may still answer
-        if ((!notRun && !mayRepeat()) || part.m_refused > m_state.m_settings.m_refusalsBorne) {
+        const bool outOfTries = part.m_refused + part.m_notReached > m_state.m_settings.m_refusalsBorne;
+        if ((!notRun && !mayRepeat()) || outOfTries) {
             settle(part, ForwardPart::State::Lost);
             return;
         }
@@ -193,8 +194,8 @@
     // Hedges leave a part of the budget to retries, without which a request fails.
     bool mayAddLoad(const ForwardPart& part, CallKind kind)
     {
-        // A merging VM that is asked again sends the calls of its whole group again; all its shards have one budget's
-        // load.
+        // A merging VM that is asked again calls all shards of its group again. They get the same requests, so that the
+        // budget of one of them stands for all.
         ExtraLoadBudget& budget
             = forwardStats(m_state, part.m_group.empty() ? part.m_service : part.m_group.front()).m_budget;
         if (kind == CallKind::Hedge && budget.m_tokens < 1.0 + budget.m_burst * m_state.m_settings.m_retryReserve)
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -26,6 +26,7 @@
     std::uint32_t m_openCalls = 0;
     std::uint32_t m_mayHaveRun = 0; // calls that ran or may have run
     std::uint32_t m_refused = 0; // calls that an endpoint refused as not run
+    std::uint32_t m_notReached = 0; // calls that never left this VM
     std::vector<EndpointIndex> m_tried;
     MonotonicTime m_hedgeAt = MonotonicTime::max();
     MonotonicTime m_retryAt = MonotonicTime::max(); // no call is open before this time
--- a/src/libflamingo/forward/forwardsettings.h
+++ b/src/libflamingo/forward/forwardsettings.h
@@ -40,7 +40,7 @@
     Milliseconds m_shortestRetryAfter { 100 }; // in a refusal
     // In a refusal for want of a configuration: a control leader is elected within about this time.
     Milliseconds m_controlRetryAfter { 1000 };
-    // Refusals by endpoints that one shard of a request may meet before it is given up.
+    // Calls that endpoints refuse, or that cannot be sent, before one shard of a request is given up.
     unsigned m_refusalsBorne = 3;
 };
 
--- a/src/libflamingo/forward/tests/forwardtest.cpp
+++ b/src/libflamingo/forward/tests/forwardtest.cpp
@@ -109,6 +109,19 @@
         CHECK(answer->m_code == ResultCode::NoEndpoint);
         CHECK(resultClass(answer->m_code) == ResultClass::NotRun);
     }
+    SECTION("guards against connecting again and again: with all endpoints out of reach it is refused soon")
+    {
+        ForwardExecution execution = vm.execution(vm.m_single);
+        ForwardEffects effects = vm.start(execution);
+        int calls = 0;
+        while (!effects.m_answer && !effects.m_sends.empty() && calls < 20) {
+            ++calls;
+            effects = vm.reply(execution, effects.m_sends[0], EndpointReply());
+        }
+        REQUIRE(effects.m_answer);
+        CHECK(effects.m_answer->m_code == ResultCode::NoEndpoint);
+        CHECK(calls <= 4);
+    }
     SECTION("draining endpoints get no calls")
     {
         for (auto& [id, endpoint] : vm.m_published.m_endpoints)
