Take unframed answers as whole at an orderly close; skip answers to other requests

An answer without a length that ends with its connection was dropped and asked for again, and an answer that names another request failed the call although its own answer followed. Unframed answers count only where the protocol allows them and the connection ends in order; a reset still loses them. A connection that carried an answer to another request is not used again. Tests guard both, and the reset.

--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -271,7 +271,7 @@
         call.m_connection = &connection;
         call.m_sentAt = now;
         const auto remaining = std::chrono::duration_cast<Milliseconds>(call.m_call.m_deadline - now);
-        if (connection.send(m_protocol.m_header(call.m_call, remaining), call.m_call.m_body)
+        if (connection.send(call.m_call.m_request, m_protocol.m_header(call.m_call, remaining), call.m_call.m_body)
             == HttpConnection::SendResult::Started)
             return true;
         call.m_connection = nullptr;
--- a/src/libflamingo/endpoint/endpointprotocol.h
+++ b/src/libflamingo/endpoint/endpointprotocol.h
@@ -19,6 +19,8 @@
     std::string (*m_header)(const EndpointCall& call, Milliseconds remaining);
     /** Takes one header line of an answer into the reply. */
     void (*m_readField)(EndpointReply& reply, std::string_view name, std::string_view value);
+    /** Whether an answer without a length ends with its connection; otherwise it counts as lost. */
+    bool m_closeEndsAnswer = false;
 };
 
 /** Returns the project's own protocol, in which endpoints hold shards of snapshots. */
--- a/src/libflamingo/endpoint/httpconnection.cpp
+++ b/src/libflamingo/endpoint/httpconnection.cpp
@@ -52,7 +52,7 @@
         m_socket.async_connect({ ip, port }, [self = self()](error_code result) { self->onConnect(result); });
     }
 
-    SendResult send(std::string header, std::string& body) override
+    SendResult send(const RequestId& request, std::string header, std::string& body) override
     {
         error_code error;
         // A request that fits into the socket's buffer leaves without a trip through the io_context.
@@ -64,6 +64,7 @@
             return SendResult::NothingSent;
         }
         m_state = State::Busy;
+        m_request = request;
         m_header = std::move(header);
         m_body = std::move(body);
         expectAnswer();
@@ -136,6 +137,10 @@
         if (m_state == State::Closed)
             return;
         m_buffer.commit(bytes);
+        if (error == asio::error::eof && endsAnswer()) {
+            finishAtClose();
+            return;
+        }
         if (error) {
             end(m_state == State::Closing       ? "closed"
                     : error == asio::error::eof ? "the endpoint closed the connection"
@@ -165,13 +170,15 @@
                 end("invalid HTTP answer: " + error.message());
                 return;
             }
-            if (m_parser->is_header_done() && m_parser->need_eof()) {
+            if (!m_protocol.m_closeEndsAnswer && m_parser->is_header_done() && m_parser->need_eof()) {
                 // Without a length a truncated answer looks like a whole one.
                 end("HTTP answer without a length");
                 return;
             }
-            if (m_parser->is_done() && m_parser->status() < 200)
-                expectAnswer(); // an interim answer
+            if (m_parser->is_done() && (m_parser->status() < 200 || answersAnother())) {
+                m_trusted = m_trusted && !answersAnother();
+                expectAnswer();
+            }
         }
         if (m_parser->is_done())
             finish();
@@ -179,10 +186,33 @@
             read();
     }
 
+    bool answersAnother() const
+    {
+        const RequestId& named = m_parser->request();
+        return !named.value().empty() && named != m_request;
+    }
+
+    /** Returns whether the end of the connection is the end of the answer under way. */
+    bool endsAnswer() const
+    {
+        return m_state == State::Busy && m_protocol.m_closeEndsAnswer && m_parser && m_parser->is_header_done()
+            && m_parser->need_eof();
+    }
+
+    void finishAtClose()
+    {
+        error_code error;
+        m_parser->put_eof(error);
+        if (error || answersAnother())
+            end("the endpoint closed the connection");
+        else
+            finish();
+    }
+
     void finish()
     {
         EndpointReply reply = m_parser->takeReply();
-        const bool reusable = m_parser->keep_alive() && m_writeDone && m_buffer.size() == 0;
+        const bool reusable = m_trusted && m_parser->keep_alive() && m_writeDone && m_buffer.size() == 0;
         m_parser.reset();
         if (reusable) {
             m_state = State::Idle;
@@ -230,6 +260,8 @@
     asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<ReplyParser> m_parser;
+    RequestId m_request; // whose answer is awaited
+    bool m_trusted = true; // false once an answer to another request came; more may follow
     std::string m_header;
     std::string m_body;
     bool m_writeDone = true;
--- a/src/libflamingo/endpoint/httpconnection.h
+++ b/src/libflamingo/endpoint/httpconnection.h
@@ -55,8 +55,12 @@
     /** Starts to connect; connected() or closed() follows. The state must be Closed and unused so far. */
     virtual void connect(const std::string& address, std::uint16_t port, Milliseconds timeout) = 0;
 
-    /** Writes a request and takes over the body if it has started. The state must be Idle. */
-    virtual SendResult send(std::string header, std::string& body) = 0;
+    /**
+     * Writes a request and takes over the body if it has started. The state must be Idle.
+     *
+     * An answer that names another request is a late or extra one; it is dropped and the next one is awaited.
+     */
+    virtual SendResult send(const RequestId& request, std::string header, std::string& body) = 0;
 
     /**
      * Tells the peer that nothing follows and waits for its close, at most for the timeout; closed() follows.
--- a/src/libflamingo/endpoint/replyparser.h
+++ b/src/libflamingo/endpoint/replyparser.h
@@ -24,6 +24,9 @@
     /** Returns the HTTP status. The header must be done. */
     unsigned status() const { return m_reply.m_status; }
 
+    /** Returns the request that the answer names; empty if it names none. The header must be done. */
+    const RequestId& request() const { return m_reply.m_request; }
+
     /** Returns the reply and leaves the parser useless. The answer must be done. */
     EndpointReply takeReply();
 
--- a/src/libflamingo/endpoint/tests/endpointclient.cpp
+++ b/src/libflamingo/endpoint/tests/endpointclient.cpp
@@ -13,10 +13,23 @@
 // A run that takes this long hangs.
 constexpr auto hangLimit = 20s;
 
+/** The project's own protocol, but answers without a length end with their connection. */
+const EndpointProtocol& protocolWithoutLengths()
+{
+    static const EndpointProtocol protocol { snapshotProtocol().m_isValid, snapshotProtocol().m_header,
+        snapshotProtocol().m_readField, true };
+    return protocol;
+}
+
 /** A client and the replies that its calls gave, in order. */
 struct Bench {
+    explicit Bench(const EndpointProtocol& protocol = snapshotProtocol())
+        : m_client(m_context, protocol)
+    {
+    }
+
     boost::asio::io_context m_context;
-    EndpointClient m_client { m_context };
+    EndpointClient m_client;
     EndpointId m_endpoint { "e1" };
     std::uint16_t m_port = 0;
     std::vector<EndpointReply> m_replies;
@@ -563,6 +576,76 @@
 }
 
 // Guards against use of a destroyed client, since daemons stop with calls in flight.
+SCENARIO("an endpoint answers without a length")
+{
+    Bench bench(protocolWithoutLengths());
+    bool reset = false;
+    TestServer server(bench.m_context, [&](const HttpRequest&) {
+        return Reaction { "HTTP/1.1 200 OK\r\nX-Flamingo-Request: r1\r\n\r\n[1,2]", true, 0ms, reset };
+    });
+    bench.m_port = server.port();
+    bench.share(2);
+
+    // Guards against whole answers that are dropped and asked for again.
+    WHEN("the connection ends in order after it")
+    {
+        bench.start(bench.call());
+        bench.awaitReplies(1);
+        THEN("the answer is whole")
+        {
+            CHECK(bench.m_replies[0].m_outcome == CallOutcome::Answered);
+            CHECK(bench.m_replies[0].m_body == "[1,2]");
+        }
+        AND_THEN("the next call uses another connection")
+        {
+            bench.start(bench.call());
+            bench.awaitReplies(2);
+            CHECK(bench.m_replies[1].m_outcome == CallOutcome::Answered);
+            CHECK(server.m_accepted == 2);
+        }
+    }
+
+    // Guards against a part of an answer that passes for the whole.
+    WHEN("the connection is reset after it")
+    {
+        reset = true;
+        bench.start(bench.call());
+        bench.awaitReplies(1);
+        THEN("the answer is lost") { CHECK(bench.m_replies[0].m_outcome == CallOutcome::ConnectionLost); }
+    }
+}
+
+SCENARIO("an answer to another request comes first")
+{
+    Bench bench;
+    std::string stray = "HTTP/1.1 200 OK\r\nX-Flamingo-Request: r0\r\nContent-Length: 3\r\n\r\n[0]";
+    TestServer server(bench.m_context, [&](const HttpRequest& request) {
+        return Reaction { stray + echo(request, "[]"), false, 0ms };
+    });
+    bench.m_port = server.port();
+    bench.share(2);
+
+    // Guards against a call that fails although its own answer follows the late one of an earlier request.
+    WHEN("the call's own answer follows")
+    {
+        bench.start(bench.call());
+        bench.awaitReplies(1);
+        THEN("the call gets its own answer")
+        {
+            CHECK(bench.m_replies[0].m_outcome == CallOutcome::Answered);
+            CHECK(bench.m_replies[0].m_request == RequestId("r1"));
+            CHECK(bench.m_replies[0].m_body == "[]");
+        }
+        AND_THEN("the connection is not used again")
+        {
+            stray.clear();
+            bench.start(bench.call());
+            bench.awaitReplies(2);
+            CHECK(server.m_accepted == 2);
+        }
+    }
+}
+
 TEST_CASE("A client may be destroyed by a handler and with calls in flight")
 {
     boost::asio::io_context context;
--- a/src/libflamingo/endpoint/tests/testserver.h
+++ b/src/libflamingo/endpoint/tests/testserver.h
@@ -24,6 +24,7 @@
     std::string m_bytes; // written as they are; nothing for a server that stays silent
     bool m_close = false;
     Milliseconds m_delay { 0 };
+    bool m_reset = false; // closes with a reset
 };
 
 /** Returns a whole answer that echoes the request's metadata. */
@@ -115,6 +116,8 @@
             boost::system::error_code error;
             if (!m_reaction.m_bytes.empty())
                 boost::asio::write(m_socket, boost::asio::buffer(m_reaction.m_bytes), error);
+            if (m_reaction.m_reset)
+                m_socket.set_option(boost::asio::socket_base::linger(true, 0), error);
             if (m_reaction.m_close)
                 m_socket.close(error);
             else
