Tell entry VMs the addresses of all control VMs

An entry VM knew the control VMs of its settings and the leader of the last hint. After all of these were replaced it could find no leader, unless its settings changed in time. Control VMs now send the addresses of the log's members after a Hello, and the leader again when they change; the addresses of the settings are tried as well. protocolVersion is 3.

--- a/src/libflamingo/consensus/consensusmember.cpp
+++ b/src/libflamingo/consensus/consensusmember.cpp
@@ -356,6 +356,14 @@
 
 bool ConsensusMember::readyToServe() const { return role() == Role::Leader && m_delivered >= m_raft.m_termStart; }
 
+std::vector<std::string> ConsensusMember::memberAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const MemberRecord& member : latestConfiguration(m_raft.m_log).m_members)
+        addresses.push_back(member.m_address);
+    return addresses;
+}
+
 std::vector<MemberView> ConsensusMember::members(MonotonicTime now) const
 {
     std::vector<MemberView> views;
--- a/src/libflamingo/consensus/consensusmember.h
+++ b/src/libflamingo/consensus/consensusmember.h
@@ -96,6 +96,8 @@
     LogIndex appliedIndex() const { return m_delivered; }
     LogIndex commitIndex() const { return m_raft.m_commit; }
     std::vector<MemberView> members(MonotonicTime now) const;
+    /** Returns the control addresses of all members. */
+    std::vector<std::string> memberAddresses() const;
     /** Returns whether the cluster has removed this member; its data folder then has to be emptied to rejoin. */
     bool removed() const { return m_raft.m_removed; }
     bool failed() const { return m_failed; }
--- a/src/libflamingo/control/codec.h
+++ b/src/libflamingo/control/codec.h
@@ -12,7 +12,7 @@
 namespace flamingo {
 
 // Version of the messages between VMs and of the log entries and snapshots on disk.
-constexpr std::uint32_t protocolVersion = 2;
+constexpr std::uint32_t protocolVersion = 3;
 
 // Each of these is a pure function and thread-safe. A decoder returns nothing and fills the reason
 // when the bytes are not one whole value of the expected type: MalformedBody for broken CBOR, a wrong
--- a/src/libflamingo/control/controlclient.cpp
+++ b/src/libflamingo/control/controlclient.cpp
@@ -11,6 +11,7 @@
     , m_ports(std::move(ports))
     , m_leaseView(std::make_shared<LeaseView>())
 {
+    updateCandidates();
     // VMs that start together begin at different control VMs.
     if (!m_settings.m_controlAddresses.empty())
         m_nextAddress
@@ -164,6 +165,12 @@
 
 void ControlClient::handle(const NotLeader& message, MonotonicTime now) { followHint(message, now); }
 
+void ControlClient::handle(const ControlAddresses& message, MonotonicTime)
+{
+    m_told = message.m_addresses;
+    updateCandidates();
+}
+
 void ControlClient::handle(Delta& delta, MonotonicTime now) { afterUpdate(m_state.take(std::move(delta)), now); }
 
 void ControlClient::handle(FullCopy& copy, MonotonicTime now) { afterUpdate(m_state.take(std::move(copy)), now); }
@@ -208,12 +215,11 @@
 
 void ControlClient::tick(MonotonicTime now)
 {
-    if (m_phase == Phase::Waiting && now >= m_retryAt && !m_settings.m_controlAddresses.empty()) {
-        const auto& addresses = m_settings.m_controlAddresses;
+    if (m_phase == Phase::Waiting && now >= m_retryAt && !m_candidates.empty()) {
         std::string address = std::move(m_hint);
         m_hint.clear();
         if (address.empty())
-            address = addresses[m_nextAddress++ % addresses.size()];
+            address = m_candidates[m_nextAddress++ % m_candidates.size()];
         connect(address, now);
     }
     if (m_phase == Phase::Connecting && now - m_phaseSince >= connectTimeout)
@@ -228,8 +234,20 @@
 
 void ControlClient::setControlAddresses(std::vector<std::string> addresses)
 {
-    if (!addresses.empty())
-        m_settings.m_controlAddresses = std::move(addresses);
+    if (addresses.empty())
+        return;
+    m_settings.m_controlAddresses = std::move(addresses);
+    updateCandidates();
+}
+
+// The addresses of the settings stay as well: what a control VM told last may be out of date.
+void ControlClient::updateCandidates()
+{
+    m_candidates = m_told;
+    for (const std::string& address : m_settings.m_controlAddresses) {
+        if (std::find(m_candidates.begin(), m_candidates.end(), address) == m_candidates.end())
+            m_candidates.push_back(address);
+    }
 }
 
 void ControlClient::noteEndpointRenewal(const EndpointId& endpoint) { m_endpointRenewals.insert(endpoint); }
--- a/src/libflamingo/control/controlclient.h
+++ b/src/libflamingo/control/controlclient.h
@@ -84,7 +84,10 @@
      */
     void administer(AdminRequest request, Milliseconds timeout, AdminHandler handler, MonotonicTime now);
 
-    /** Replaces the addresses of control VMs; an open link stays. Without effect for an empty list. */
+    /**
+     * Replaces the addresses of control VMs that the settings name; an open link stays. Without effect for an empty
+     * list. Addresses that control VMs have told are tried as well, and first.
+     */
     void setControlAddresses(std::vector<std::string> addresses);
 
     /** Passes on that an endpoint renewed here, with the next renewal of the lease. */
@@ -139,6 +142,8 @@
 
     void handle(const Grant& grant, MonotonicTime now);
     void handle(const NotLeader& message, MonotonicTime now);
+    void handle(const ControlAddresses& message, MonotonicTime now);
+    void updateCandidates();
     void handle(Delta& delta, MonotonicTime now);
     void handle(FullCopy& copy, MonotonicTime now);
     void handle(const CommandReply& reply, MonotonicTime now);
@@ -166,6 +171,8 @@
     std::string m_linkAddress;
     MonotonicTime m_phaseSince;
     MonotonicTime m_retryAt;
+    std::vector<std::string> m_told; // addresses that a control VM told last
+    std::vector<std::string> m_candidates; // addresses to try in turn
     std::size_t m_nextAddress = 0;
     std::string m_hint; // address to try next, from a NotLeader
     int m_failures = 0; // since the last grant
--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -115,6 +115,14 @@
     send(link, NotLeader { m_ports.m_leaderAddress(), sequence });
 }
 
+void ControlService::sendAddresses(LinkId link, Session& session, const std::vector<std::string>& addresses)
+{
+    if (!session.m_hello || addresses.empty() || session.m_addresses == addresses)
+        return;
+    session.m_addresses = addresses;
+    send(link, ControlAddresses { addresses });
+}
+
 bool ControlService::handle(LinkId link, Session& session, const Hello& hello, MonotonicTime now)
 {
     if (session.m_hello
@@ -126,6 +134,7 @@
     session.m_base = hello.m_appliedRevision;
     session.m_baseDigest = hello.m_appliedDigest;
     session.m_inFlight.reset();
+    sendAddresses(link, session, m_ports.m_controlAddresses());
     if (!leads())
         sendNotLeader(link, 0);
     if (!m_ready)
--- a/src/libflamingo/control/controlservice.h
+++ b/src/libflamingo/control/controlservice.h
@@ -109,6 +109,7 @@
         Revision m_base; // revision and digest of the state that the VM is known to have
         std::uint64_t m_baseDigest = 0;
         std::optional<Revision> m_inFlight; // revision of the delta or copy that is not yet confirmed
+        std::vector<std::string> m_addresses; // of control VMs, as sent last
     };
     struct PendingCommand {
         LinkId m_link;
@@ -128,6 +129,7 @@
     bool leads() const { return m_leaderSince.has_value(); }
     void send(LinkId link, const ControlMessage& message);
     void sendNotLeader(LinkId link, std::uint64_t sequence);
+    void sendAddresses(LinkId link, Session& session, const std::vector<std::string>& addresses);
 
     bool handle(LinkId link, Session& session, const Hello& hello, MonotonicTime now);
     bool handle(LinkId link, Session& session, const Renew& renew, MonotonicTime now);
--- a/src/libflamingo/control/controlserviceports.h
+++ b/src/libflamingo/control/controlserviceports.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace flamingo {
 
@@ -25,6 +26,8 @@
     std::function<std::optional<MonotonicTime>()> m_leaderSince;
     // Address of the leader for entry VMs, empty when unknown.
     std::function<std::string()> m_leaderAddress;
+    // Addresses of all control VMs for entry VMs, as this VM knows them.
+    std::function<std::vector<std::string>()> m_controlAddresses;
     // Sends one encoded message; a failure closes the link later through onLinkClosed().
     std::function<void(LinkId, const std::string& bytes)> m_send;
     std::function<LogTime()> m_wallClock;
--- a/src/libflamingo/control/controlservicetick.cpp
+++ b/src/libflamingo/control/controlservicetick.cpp
@@ -36,8 +36,11 @@
     if (now - m_lastApplied >= advanceTimePeriod)
         proposeOwn("advance time", AdvanceTime {}, now);
     m_fullCopiesThisTick = 0;
-    for (auto& [link, session] : m_sessions)
+    const std::vector<std::string> addresses = m_ports.m_controlAddresses();
+    for (auto& [link, session] : m_sessions) {
+        sendAddresses(link, session, addresses);
         pushState(link, session);
+    }
 }
 
 // --- State for entry VMs.
--- a/src/libflamingo/control/messagenames.h
+++ b/src/libflamingo/control/messagenames.h
@@ -10,6 +10,6 @@
 // Type names on the wire, in the order of the alternatives of ControlMessage.
 inline constexpr std::array<const char*, std::variant_size_v<ControlMessage>> messageNames { "hello", "renew",
     "commandRequest", "statusRequest", "notLeader", "grant", "delta", "fullCopy", "commandReply", "statusReply",
-    "adminRequest", "adminReply" };
+    "adminRequest", "adminReply", "controlAddresses" };
 
 } // namespace flamingo::detail
--- a/src/libflamingo/control/messages.h
+++ b/src/libflamingo/control/messages.h
@@ -88,6 +88,10 @@
     std::string m_leaderAddress; // empty when unknown
     std::uint64_t m_sequence = 0; // of the refused request; 0 for a refused Hello or Renew
 };
+/** Where the control VMs can be found; sent after a Hello and by the leader when their list changes. */
+struct ControlAddresses {
+    std::vector<std::string> m_addresses; // IP address and port
+};
 struct Grant {
     std::uint64_t m_sequence = 0; // of the Renew that it answers
     Milliseconds m_remaining { 0 }; // counted from the moment the Renew was sent; 0 when no lease is granted
@@ -124,6 +128,6 @@
 };
 
 using ControlMessage = std::variant<Hello, Renew, CommandRequest, StatusRequest, NotLeader, Grant, Delta, FullCopy,
-    CommandReply, StatusReply, AdminRequest, AdminReply>;
+    CommandReply, StatusReply, AdminRequest, AdminReply, ControlAddresses>;
 
 } // namespace flamingo
--- a/src/libflamingo/control/recordfields.h
+++ b/src/libflamingo/control/recordfields.h
@@ -268,6 +268,10 @@
     static constexpr const char* name = "NotLeader";
     template <typename S> static auto tie(S& s) { return std::tie(s.m_leaderAddress, s.m_sequence); }
 };
+template <> struct Fields<ControlAddresses> {
+    static constexpr const char* name = "ControlAddresses";
+    template <typename S> static auto tie(S& s) { return std::tie(s.m_addresses); }
+};
 template <> struct Fields<Grant> {
     static constexpr const char* name = "Grant";
     template <typename S> static auto tie(S& s)
--- a/src/libflamingo/control/tests/clienttest.cpp
+++ b/src/libflamingo/control/tests/clienttest.cpp
@@ -88,6 +88,18 @@
             REQUIRE(fixture.m_connects.size() > 5);
         }
     }
+    SECTION("guards against a VM that only knows control VMs that are gone, after all of its settings were replaced")
+    {
+        fixture.open();
+        fixture.answer(ControlAddresses { { "x", "b" } });
+        std::set<std::string> tried;
+        for (int step = 0; step < 500; ++step) {
+            fixture.m_client->onLinkClosed(fixture.m_connects.back().first, fixture.m_now);
+            fixture.run(Milliseconds(10));
+            tried.insert(fixture.m_connects.back().second);
+        }
+        REQUIRE(tried == std::set<std::string> { "x", "a", "b", "c" });
+    }
     SECTION("guards against hammering control VMs that refuse connections")
     {
         for (int step = 0; step < 1000; ++step) {
--- a/src/libflamingo/control/tests/codectest.cpp
+++ b/src/libflamingo/control/tests/codectest.cpp
@@ -30,6 +30,7 @@
         Renew { 1, Revision(2), { EndpointId("e1"), EndpointId("e2") }, true },
         CommandRequest { 7, { CommandId("c"), ConfigurationVersion(3), LogTime(9), openClaim("a", "vm1", 1) } },
         StatusRequest { 8, Revision(9) }, NotLeader { "127.0.0.1:7000", 3 },
+        ControlAddresses { { "127.0.0.1:7000", "127.0.0.2:7000" } },
         Grant { 4, Milliseconds(2900), true, LogTime(startSeconds * 1000) }, delta,
         FullCopy { replica.m_state.m_published, publishedDigest(replica.m_state.m_published) },
         CommandReply { 1, { ResultCode::VersionMismatch, "text", Revision(3), ConfigurationVersion(4), true } },
--- a/src/libflamingo/control/tests/controlfixture.h
+++ b/src/libflamingo/control/tests/controlfixture.h
@@ -145,6 +145,7 @@
         ports.m_leaderAddress = [this, index]() {
             return m_controls[index].m_cutOff ? std::string() : "control" + std::to_string(m_leader);
         };
+        ports.m_controlAddresses = []() { return std::vector<std::string>(); };
         ports.m_send = [this, index](LinkId link, const std::string& bytes) {
             for (Entry& entry : m_entries) {
                 if (entry.m_open && entry.m_control == index && serviceLink(entry) == link)
--- a/src/libflamingo/control/tests/servicetest.cpp
+++ b/src/libflamingo/control/tests/servicetest.cpp
@@ -15,6 +15,7 @@
     bool m_roundsConfirmed = true;
     bool m_caughtUp = true;
     bool m_applyAtOnce = true;
+    std::vector<std::string> m_controlAddresses { "127.0.0.1:7001", "127.0.0.2:7001" };
     std::vector<std::string> m_log;
     std::vector<std::pair<LinkId, ControlMessage>> m_sent;
     std::unique_ptr<ControlService> m_service;
@@ -32,6 +33,7 @@
         ports.m_confirmedRoundStart = [this]() { return m_roundsConfirmed ? std::optional(m_now) : std::nullopt; };
         ports.m_leaderSince = [this]() { return m_leaderSince; };
         ports.m_leaderAddress = []() { return std::string("127.0.0.1:7001"); };
+        ports.m_controlAddresses = [this]() { return m_controlAddresses; };
         ports.m_send = [this](LinkId link, const std::string& bytes) {
             Reason reason;
             m_sent.emplace_back(link, *decodeMessage(bytes, reason));
@@ -198,6 +200,29 @@
     }
 }
 
+TEST_CASE("Entry VMs are told where all control VMs are")
+{
+    ServiceFixture fixture;
+    fixture.open(1, "vm1");
+    REQUIRE(fixture.last<ControlAddresses>().m_addresses == fixture.m_controlAddresses);
+
+    SECTION("again when a control VM was replaced, and only then")
+    {
+        fixture.run(Milliseconds(1000));
+        REQUIRE(fixture.count<ControlAddresses>() == 1);
+        fixture.m_controlAddresses.back() = "127.0.0.3:7001";
+        fixture.run(Milliseconds(200));
+        REQUIRE(fixture.count<ControlAddresses>() == 2);
+        REQUIRE(fixture.last<ControlAddresses>().m_addresses.back() == "127.0.0.3:7001");
+    }
+    SECTION("also by a control VM that does not lead")
+    {
+        fixture.m_leaderSince.reset();
+        fixture.open(2, "vm2");
+        REQUIRE(fixture.count<ControlAddresses>() == 2);
+    }
+}
+
 TEST_CASE("The leader pushes the state")
 {
     ServiceFixture fixture;
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -108,6 +108,7 @@
         = [this] { return m_member ? m_member->confirmedRoundStart() : std::optional<MonotonicTime>(); };
     ports.m_leaderSince = [this] { return m_member ? m_member->leaderSince() : std::optional<MonotonicTime>(); };
     ports.m_leaderAddress = [this] { return m_member ? m_member->leaderAddress() : std::string(); };
+    ports.m_controlAddresses = [this] { return m_member ? m_member->memberAddresses() : std::vector<std::string>(); };
     ports.m_send = [this](LinkId link, const std::string& bytes) {
         if (m_server)
             m_server->send(link, bytes);
