--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -19,6 +19,10 @@
 constexpr Milliseconds graceMargin { 500 };
 // An endpoint within reach of the system answers a handshake well within this time.
 constexpr Milliseconds connectTimeout { 500 };
+// A merging VM that is not connected by then is dark; another owner of the group can still answer within the goal.
+constexpr Milliseconds mergeConnectTimeout { 25 };
+// A connection carries one call at a time, and one call that stalls must not hold up others to the same VM.
+constexpr std::uint32_t mergeConnections = 8;
 // Connections kept open to each endpoint ahead of need.
 constexpr std::uint32_t warmConnections = 1;
 // A request of a caller within its limits, and the names of its shards.
@@ -28,6 +32,14 @@
 // Part of the allowed extra load that the VMs plan with, since they do not see each other's calls.
 constexpr double extraLoadUsed = 0.75;
 
+EndpointLimits mergeLimits()
+{
+    EndpointLimits limits;
+    limits.m_connections = mergeConnections;
+    limits.m_connectTimeout = mergeConnectTimeout;
+    return limits;
+}
+
 ForwardState makeState(const Settings& settings)
 {
     ForwardState state = makeForwardState(settings.m_vm, settings.m_dataCentre);
@@ -49,7 +61,7 @@
     , m_ticker(m_io)
     , m_state(makeState(settings))
     , m_client(m_io, *protocol.m_endpoints)
-    , m_mergeClient(m_io, mergeProtocol())
+    , m_mergeClient(m_io, mergeProtocol(), mergeLimits())
     , m_runner(m_io, m_client, m_mergeClient, m_state, metrics)
     , m_callers(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); })
     , m_probes(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleProbe(*exchange); })
--- a/src/libflamingo/daemon/peerlinks.h
+++ b/src/libflamingo/daemon/peerlinks.h
@@ -23,7 +23,7 @@
 class PeerLinks {
 public:
     // Without a pause a member that is down would be tried for every heartbeat.
-    static constexpr Milliseconds reconnectPause { 200 };
+    static constexpr Milliseconds reconnectPause { 100 };
 
     explicit PeerLinks(boost::asio::io_context& io);
     ~PeerLinks();
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -72,9 +72,10 @@
 
 class EndpointClient::Impl final : public detail::HttpConnectionOwner {
 public:
-    Impl(asio::io_context& context, const EndpointProtocol& protocol)
+    Impl(asio::io_context& context, const EndpointProtocol& protocol, const EndpointLimits& defaultLimits)
         : m_context(context)
         , m_protocol(protocol)
+        , m_defaultLimits(defaultLimits)
         , m_timer(context)
     {
     }
@@ -182,8 +183,12 @@
 private:
     ConnectionPool& findPool(const EndpointId& endpoint)
     {
-        ConnectionPool& pool = m_pools[endpoint];
-        pool.m_endpoint = endpoint;
+        const auto [position, isNew] = m_pools.try_emplace(endpoint);
+        ConnectionPool& pool = position->second;
+        if (isNew) {
+            pool.m_endpoint = endpoint;
+            pool.m_limits = m_defaultLimits;
+        }
         return pool;
     }
 
@@ -521,6 +526,7 @@
 
     asio::io_context& m_context;
     const EndpointProtocol& m_protocol;
+    const EndpointLimits m_defaultLimits; // of endpoints without limits of their own
     std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
     MonotonicTimer m_timer;
     MonotonicTime m_armedFor = MonotonicTime::max();
@@ -531,8 +537,9 @@
     EndpointClientCounters m_counters;
 };
 
-EndpointClient::EndpointClient(asio::io_context& context, const EndpointProtocol& protocol)
-    : m_impl(std::make_unique<Impl>(context, protocol))
+EndpointClient::EndpointClient(
+    asio::io_context& context, const EndpointProtocol& protocol, const EndpointLimits& defaultLimits)
+    : m_impl(std::make_unique<Impl>(context, protocol, defaultLimits))
 {
 }
 
--- a/src/libflamingo/endpoint/endpointclient.h
+++ b/src/libflamingo/endpoint/endpointclient.h
@@ -25,7 +25,8 @@
 class EndpointClient {
 public:
     /** Creates a client without connections. The io_context must outlive the client. */
-    explicit EndpointClient(boost::asio::io_context& context, const EndpointProtocol& protocol = snapshotProtocol());
+    explicit EndpointClient(boost::asio::io_context& context, const EndpointProtocol& protocol = snapshotProtocol(),
+        const EndpointLimits& defaultLimits = {});
 
     /** Closes all connections at once. Handlers of unfinished calls are dropped without being called. */
     ~EndpointClient();
--- a/src/libflamingo/endpoint/tests/endpointclient.cpp
+++ b/src/libflamingo/endpoint/tests/endpointclient.cpp
@@ -23,8 +23,8 @@
 
 /** A client and the replies that its calls gave, in order. */
 struct Bench {
-    explicit Bench(const EndpointProtocol& protocol = snapshotProtocol())
-        : m_client(m_context, protocol)
+    explicit Bench(const EndpointProtocol& protocol = snapshotProtocol(), const EndpointLimits& limits = {})
+        : m_client(m_context, protocol, limits)
     {
     }
 
@@ -576,6 +576,29 @@
 }
 
 // Guards against use of a destroyed client, since daemons stop with calls in flight.
+SCENARIO("calls to an endpoint without limits of its own")
+{
+    EndpointLimits limits;
+    limits.m_connections = 2;
+    Bench bench(snapshotProtocol(), limits);
+    TestServer server(bench.m_context, [](const HttpRequest& request) {
+        return Reaction { echo(request, "[]"), false, request["X-Flamingo-Request"] == "slow" ? 300ms : 0ms };
+    });
+    bench.m_port = server.port();
+
+    // Guards against one call that stalls and holds up all others to the same merging VM.
+    WHEN("one of them stalls")
+    {
+        bench.start(bench.call("slow"));
+        bench.start(bench.call("r1"));
+        bench.awaitReplies(1);
+        THEN("others use the connections that the default allows")
+        {
+            CHECK(bench.m_replies[0].m_request == RequestId("r1"));
+        }
+    }
+}
+
 SCENARIO("an endpoint answers without a length")
 {
     Bench bench(protocolWithoutLengths());
--- a/src/libflamingo/link/tests/linktest.cpp
+++ b/src/libflamingo/link/tests/linktest.cpp
@@ -389,6 +389,28 @@
     REQUIRE(daemons.runUntil([&] { return daemons.m_clientClosed.size() == 1; }));
     CHECK(daemons.m_clientClosed[0].m_code == ResultCode::ControlUnavailable);
 
+    // Guards against VMs that find a restarted control VM only with the system's second opening packet, a second
+    // later.
+    SECTION("a listener that drops opening packets is given up well within a second")
+    {
+        boost::asio::io_context io;
+        tcp::acceptor full(io, tcp::endpoint(boost::asio::ip::make_address(serverAddress), 0));
+        full.listen(0);
+        std::vector<std::unique_ptr<tcp::socket>> waiting; // connections that fill the queue of the listener
+        for (int i = 0; i < 4; ++i) {
+            waiting.push_back(std::make_unique<tcp::socket>(io));
+            waiting.back()->async_connect(full.local_endpoint(), [](const boost::system::error_code&) {});
+        }
+        io.poll();
+        std::vector<Reason> closed;
+        LinkClient client(daemons.m_clientLoop,
+            LinkClientCallbacks { nullptr, nullptr, [&](const Reason& reason) { closed.push_back(reason); } });
+        REQUIRE(client.connect(
+            std::string(serverAddress) + ":" + std::to_string(full.local_endpoint().port()), entryLinkPath));
+        REQUIRE(daemons.runUntil([&] { return !closed.empty(); }, true, 700ms));
+        CHECK(closed[0].m_code == ResultCode::ControlUnavailable);
+    }
+
     SECTION("a client destroyed while connecting reports nothing and leaves no handler behind")
     {
         int events = 0;
