Keep no connections to services that no route names, where fan-outs have two levels

With two levels a VM now keeps connections to the shards of its own groups and to services of other routes only.

The line of an answered request says what its missing parts waited for.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -1,6 +1,7 @@
 #include "daemon/forwardloop.h"
 
 #include "base/log.h"
+#include "forward/mergeplan.h"
 #include "forward/mergewire.h"
 
 #include <boost/asio/post.hpp>
@@ -197,9 +198,8 @@
     limits.m_connectTimeout = connectTimeout;
     m_client.setLimits(route.m_id, limits);
     m_connected.insert(route.m_id);
-    const bool shared = table.m_sharers.count(route.m_service) > 0;
     const bool used = !route.m_draining && table.m_routedConnections.count(route.m_service) > 0
-        && (!shared || m_state.m_ownShards.count(route.m_service) > 0);
+        && callsDirectly(m_state, route.m_service);
     m_client.warm(
         route.m_id, route.m_address, route.m_port, used ? std::min(limits.m_connections, warmConnections) : 0);
 }
--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -33,6 +33,23 @@
     return std::to_string(std::chrono::duration_cast<Milliseconds>(time).count());
 }
 
+/** Returns what the parts without an answer waited for, for the log: "lost:2 busy:1 open:3". */
+std::string unansweredText(const ForwardExecution& execution)
+{
+    std::size_t lost = 0;
+    std::size_t busy = 0; // no endpoint was free
+    std::size_t open = 0; // a call had not ended
+    for (const ForwardPart& part : execution.m_parts) {
+        if (part.m_state == ForwardPart::State::Lost)
+            ++lost;
+        else if (part.m_state == ForwardPart::State::Open)
+            ++(part.m_openCalls > 0 ? open : busy);
+    }
+    if (lost + busy + open == 0)
+        return {};
+    return "lost:" + std::to_string(lost) + " busy:" + std::to_string(busy) + " open:" + std::to_string(open);
+}
+
 } // namespace
 
 struct ForwardRunner::Running {
@@ -179,8 +196,9 @@
         { "version", std::to_string(request.m_version.value()) },
         { "code", std::to_string(static_cast<int>(answer.m_code)) }, { "status", std::to_string(answer.m_status) },
         { "shards", std::to_string(answer.m_shards) }, { "missing", std::to_string(answer.m_missingShards) },
-        { "calls", std::to_string(answer.m_calls) }, { "hedges", std::to_string(running->m_hedges) },
-        { "elapsed_ms", milliseconds(elapsed) }, { "reason", answer.m_text });
+        { "unanswered", unansweredText(running->m_execution) }, { "calls", std::to_string(answer.m_calls) },
+        { "hedges", std::to_string(running->m_hedges) }, { "elapsed_ms", milliseconds(elapsed) },
+        { "reason", answer.m_text });
     if (!request.m_partOfGoal)
         record(running->m_execution, answer, std::chrono::duration_cast<Microseconds>(elapsed));
     const AnswerHandler handler = std::move(running->m_handler);
--- a/src/libflamingo/forward/mergeplan.cpp
+++ b/src/libflamingo/forward/mergeplan.cpp
@@ -91,6 +91,17 @@
     }
 }
 
+void noteDirect(ForwardState& state, const PublishedState& published)
+{
+    for (const auto& [key, route] : published.m_routes) {
+        if (isLarge(state, route))
+            continue;
+        state.m_direct.insert(route.m_shards.begin(), route.m_shards.end());
+        for (const RouteTarget& target : route.m_targets)
+            state.m_direct.insert(target.m_service);
+    }
+}
+
 } // namespace
 
 std::vector<std::vector<ServiceName>> mergeGroups(const std::vector<ServiceName>& shards, std::size_t groupShards)
@@ -111,6 +122,11 @@
     return state.m_mergeGroups > 0 && isLarge(state, route);
 }
 
+bool callsDirectly(const ForwardState& state, const ServiceName& service)
+{
+    return state.m_mergeGroups == 0 || state.m_ownShards.count(service) > 0 || state.m_direct.count(service) > 0;
+}
+
 void updateMergers(ForwardState& state, MonotonicTime now)
 {
     const PublishedState& published = *state.m_routing.m_state;
@@ -124,6 +140,7 @@
     table.m_sharers.clear();
     ++table.m_vmGeneration;
     state.m_ownShards.clear();
+    state.m_direct.clear();
     state.m_mergeGroups = state.m_settings.m_mergePort != 0 && vms.size() >= groups * 2 ? groups : 0;
     if (state.m_mergeGroups == 0)
         return;
@@ -141,6 +158,7 @@
         }
     }
     noteShards(state, published, owners, own);
+    noteDirect(state, published);
     applyPublishedState(state.m_mergers, std::move(mergers), now);
 }
 
--- a/src/libflamingo/forward/mergeplan.h
+++ b/src/libflamingo/forward/mergeplan.h
@@ -24,6 +24,15 @@
 /** Returns whether fan-outs of the route are merged in two levels by this state. */
 bool usesMergers(const ForwardState& state, const Route& route);
 
+/**
+ * Returns whether this VM calls endpoints of the service itself, so that connections to them are worth keeping.
+ *
+ * With two levels these are the shards of its own groups and the services of other routes, but no service that no
+ * route names yet: each VM would connect to each endpoint of a new set of shards before it is in use, more of them
+ * than the endpoints accept.
+ */
+bool callsDirectly(const ForwardState& state, const ServiceName& service);
+
 /** Works out the owners of all groups from the admitted VMs; costs little when these are as before. */
 void updateMergers(ForwardState& state, MonotonicTime now);
 
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -28,6 +28,9 @@
             m_published.m_vms[vm.m_id] = vm;
         }
         m_published.m_routes[m_fanOut.m_key] = m_fanOut;
+        m_single.m_key = { "host", "/one/" };
+        m_single.m_targets = { { ServiceName("other"), 1.0 } };
+        m_published.m_routes[m_single.m_key] = m_single;
         m_fanOut.m_shardFloor = 0.9;
         apply();
     }
@@ -104,6 +107,14 @@
         const EndpointIndex endpoint = vm.m_state.m_routing.m_table.m_positions.at(EndpointId("e0a"));
         CHECK(endpointShare(vm.m_state.m_routing.m_table, endpoint) == 2); // of 10 among 5 VMs
     }
+    SECTION("guards against connections of every VM to each endpoint of shards that are not in use yet")
+    {
+        CHECK_FALSE(callsDirectly(vm.m_state, ServiceName("new0")));
+        CHECK(callsDirectly(vm.m_state, ServiceName("other")));
+        for (const ServiceName& shard : vm.m_fanOut.m_shards)
+            CHECK(callsDirectly(vm.m_state, shard) == (vm.m_state.m_ownShards.count(shard) > 0));
+        CHECK(vm.m_state.m_ownShards.size() < vm.m_fanOut.m_shards.size());
+    }
     SECTION("the receipts of all groups are in the answer")
     {
         std::optional<ForwardAnswer> answer;
