Ask merging VMs for the rest instead of failing a fan-out below its floor at the goal

As soon as two such answers lacked more shards than the floor allows, the entry VM failed the request, though the calls were still running.

A merging VM now says that more follows and works on for 200 ms without new calls; an entry VM that is below the floor at the goal asks the same VM for the rest, and answers when the floor is reached. Where nobody asks, the work is dropped. Nobody else is asked, since shards would be counted twice.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -204,8 +204,26 @@
         route.m_id, route.m_address, route.m_port, used ? std::min(limits.m_connections, warmConnections) : 0);
 }
 
+void ForwardLoop::handleMergeRest(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto respond = [exchange](const ForwardAnswer& answer) { exchange->respond(encodeMergeAnswer(answer)); };
+    const auto rest = decodeMergeRestCall(exchange->request());
+    const auto id = rest ? m_runner.resume(*rest, respond) : std::nullopt;
+    if (id) {
+        exchange->onAbandoned([this, id = *id] { m_runner.abandon(id); });
+        return;
+    }
+    FLAMINGO_LOG(Info, "refused a call for the rest of a group", { "request_id", rest ? rest->m_request.value() : "" },
+        { "reason", rest ? "its work has ended" : "malformed" });
+    ForwardAnswer answer;
+    answer.m_code = rest ? ResultCode::EndpointFailed : ResultCode::MalformedBody;
+    respond(answer);
+}
+
 void ForwardLoop::handleMerge(const std::shared_ptr<HttpExchange>& exchange)
 {
+    if (isMergeRestCall(exchange->request()))
+        return handleMergeRest(exchange);
     ForwardRequest request;
     Reason reason;
     if (!decodeMergeCall(exchange->request(), request, reason)) {
--- a/src/libflamingo/daemon/forwardloop.h
+++ b/src/libflamingo/daemon/forwardloop.h
@@ -54,6 +54,7 @@
     void updateConnections(const std::vector<Change>* changes);
     void connectEndpoint(EndpointIndex index);
     void handleMerge(const std::shared_ptr<HttpExchange>& exchange);
+    void handleMergeRest(const std::shared_ptr<HttpExchange>& exchange);
     void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
     void refuse(HttpExchange& exchange, const RequestId& id, ResultCode code, const char* text);
     std::optional<Reason> refusal() const;
--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -92,13 +92,36 @@
     return id;
 }
 
+std::optional<ExecutionId> ForwardRunner::resume(const MergeRestCall& rest, AnswerHandler handler)
+{
+    const auto paused = m_paused.find({ rest.m_request, rest.m_firstShard });
+    if (paused == m_paused.end())
+        return std::nullopt;
+    const ExecutionId id = paused->second;
+    m_paused.erase(paused);
+    const RunningPtr running = m_running.at(id);
+    running->m_handler = std::move(handler);
+    carryOut(running, resumeForward(m_state, running->m_execution, rest.m_goalLeft, monotonicNow()));
+    return id;
+}
+
+void ForwardRunner::forget(const Running& running)
+{
+    const ForwardRequest& request = running.m_execution.m_request;
+    const auto paused
+        = request.m_partOfGoal ? m_paused.find({ request.m_id, request.m_route->m_shards.front() }) : m_paused.end();
+    if (paused != m_paused.end() && paused->second == running.m_execution.m_id)
+        m_paused.erase(paused);
+    m_running.erase(running.m_execution.m_id);
+}
+
 void ForwardRunner::abandon(ExecutionId execution)
 {
     const auto found = m_running.find(execution);
     if (found == m_running.end())
         return;
     const RunningPtr running = found->second;
-    m_running.erase(found);
+    forget(*running);
     ++m_counters.m_abandoned;
     running->m_abandoned = true;
     running->m_timer.cancel();
@@ -116,7 +139,9 @@
         send(running, std::move(call));
     if (effects.m_answer)
         finish(running, std::move(*effects.m_answer));
-    else if (effects.m_wakeAt)
+    else if (running->m_execution.m_finished)
+        forget(*running);
+    if (effects.m_wakeAt && !running->m_execution.m_finished)
         setTimer(running, *effects.m_wakeAt);
     for (const ExecutionId execution : effects.m_wake) {
         // Later, since the woken execution may wake others in turn.
@@ -189,8 +214,12 @@
 void ForwardRunner::finish(const RunningPtr& running, ForwardAnswer answer)
 {
     running->m_timer.cancel();
-    m_running.erase(running->m_execution.m_id);
+    running->m_timerAt = MonotonicTime::max();
     const ForwardRequest& request = running->m_execution.m_request;
+    if (answer.m_moreFollows)
+        m_paused[{ request.m_id, request.m_route->m_shards.front() }] = running->m_execution.m_id;
+    else
+        forget(*running);
     const auto elapsed = monotonicNow() - request.m_receivedAt;
     FLAMINGO_LOG(Info, "request answered", { "request_id", request.m_id.value() }, { "route", request.m_route->m_name },
         { "version", std::to_string(request.m_version.value()) },
--- a/src/libflamingo/daemon/forwardrunner.h
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -2,6 +2,7 @@
 
 #include "endpoint/callhandle.h"
 #include "forward/forwardexecution.h"
+#include "forward/mergewire.h"
 #include "metrics/callermetricstable.h"
 #include "metrics/metricsregistry.h"
 
@@ -10,7 +11,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace flamingo {
 
@@ -49,6 +52,13 @@
      */
     ExecutionId start(ForwardRequest request, AnswerHandler handler);
 
+    /**
+     * Goes on with a group of shards whose last answer said that more follows; the handler is called as for start().
+     *
+     * Returns nothing if that work has ended or is not known here.
+     */
+    std::optional<ExecutionId> resume(const MergeRestCall& rest, AnswerHandler handler);
+
     /** Ends the request, whose caller has left; without effect once it is answered. */
     void abandon(ExecutionId execution);
 
@@ -68,6 +78,7 @@
     void setTimer(const RunningPtr& running, MonotonicTime at);
     void wake(ExecutionId execution);
     void finish(const RunningPtr& running, ForwardAnswer answer);
+    void forget(const Running& running);
     void learnLag(const ForwardExecution& execution);
     void record(const ForwardExecution& execution, const ForwardAnswer& answer, Microseconds elapsed);
 
@@ -79,6 +90,7 @@
     ForwardCounters m_counters;
     std::uint64_t m_lastExecution = 0;
     std::unordered_map<ExecutionId, RunningPtr> m_running;
+    std::map<std::pair<RequestId, ServiceName>, ExecutionId> m_paused; // by request and first shard of the group
 };
 
 } // namespace flamingo
--- a/src/libflamingo/forward/forwardanswer.h
+++ b/src/libflamingo/forward/forwardanswer.h
@@ -29,6 +29,7 @@
     std::vector<std::string> m_receipts; // of the endpoints whose answers are contained
     std::uint32_t m_shards = 0;
     std::uint32_t m_missingShards = 0;
+    bool m_moreFollows = false; // of a merging VM: missing shards are still worked on and can be asked for
     Milliseconds m_retryAfter { 100 }; // of a refusal
     std::uint32_t m_calls = 0; // to endpoints, hedges and retries included
 };
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -66,23 +66,33 @@
             return;
         }
         if (merged) {
-            part.m_receipts = std::move(mergeReply->m_receipts);
-            part.m_records = std::move(mergeReply->m_records);
-        } else {
-            part.m_receipts = { reply.m_receipt };
-            part.m_records = m_route.m_shards.empty() ? std::string() : std::move(reply.m_body);
-            part.m_reply = std::move(reply);
+            takeMerged(part, call.m_attempt.m_endpoint, std::move(*mergeReply));
+            return;
         }
+        part.m_receipts = { reply.m_receipt };
+        part.m_records = m_route.m_shards.empty() ? std::string() : std::move(reply.m_body);
+        part.m_reply = std::move(reply);
         settle(part, ForwardPart::State::Answered);
     }
 
+    void resume(Milliseconds goalLeft)
+    {
+        m_execution.m_pausedUntil.reset();
+        m_execution.m_goalAt = m_now + goalLeft;
+        for (ForwardPart& part : m_execution.m_parts) {
+            if (part.m_state == ForwardPart::State::Open && part.m_openCalls == 0)
+                part.m_retryAt = m_now;
+        }
+        timer();
+    }
+
     void timer()
     {
-        if (m_execution.m_finished)
+        if (m_execution.m_finished || m_execution.m_pausedUntil)
             return;
         for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
             ForwardPart& part = m_execution.m_parts[index];
-            if (part.m_state != ForwardPart::State::Open)
+            if (part.m_state != ForwardPart::State::Open || part.m_restAt)
                 continue;
             if (part.m_openCalls == 0 && (m_now >= part.m_retryAt || part.m_waiting)) {
                 part.m_retryAt = MonotonicTime::max();
@@ -98,11 +108,23 @@
     {
         if (m_execution.m_finished)
             return std::move(m_effects);
+        if (m_execution.m_pausedUntil) {
+            if (m_now >= *m_execution.m_pausedUntil)
+                abandonForward(m_state, m_execution);
+            m_effects.m_wakeAt = m_execution.m_pausedUntil;
+            return std::move(m_effects);
+        }
         m_effects.m_answer = decideAnswer(m_execution, m_now);
+        if (m_effects.m_answer && m_effects.m_answer->m_moreFollows) {
+            pause();
+            return std::move(m_effects);
+        }
         if (m_effects.m_answer) {
             abandonForward(m_state, m_execution);
             return std::move(m_effects);
         }
+        if (m_now >= m_execution.m_goalAt)
+            askForRest();
         m_effects.m_wakeAt = nextWake();
         return std::move(m_effects);
     }
@@ -121,11 +143,61 @@
         part.m_hedgeAt = MonotonicTime::max();
         part.m_retryAt = MonotonicTime::max();
         stopWaitingFor(part);
-        const auto answered = std::min(part.shards(), static_cast<std::uint32_t>(part.m_receipts.size()));
-        m_execution.m_answered += answered;
+        part.m_restAt.reset();
+        const auto answered = static_cast<std::uint32_t>(part.m_receipts.size());
+        if (part.m_group.empty())
+            m_execution.m_answered += answered;
         m_execution.m_lost += part.shards() - answered;
     }
 
+    void takeMerged(ForwardPart& part, EndpointIndex merger, MergeReply reply)
+    {
+        const auto added = static_cast<std::uint32_t>(reply.m_receipts.size());
+        if (part.m_receipts.size() + added > part.shards()) {
+            settle(part, ForwardPart::State::Lost);
+            return;
+        }
+        m_execution.m_answered += added;
+        part.m_receipts.insert(part.m_receipts.end(), std::make_move_iterator(reply.m_receipts.begin()),
+            std::make_move_iterator(reply.m_receipts.end()));
+        part.m_records.append(reply.m_records);
+        part.m_hedgeAt = MonotonicTime::max();
+        if (reply.m_moreFollows && part.m_openCalls == 0)
+            part.m_restAt = merger;
+        else
+            settle(part, ForwardPart::State::Answered);
+    }
+
+    // What is given now is not given again, and no further calls are made until the rest is asked for.
+    void pause()
+    {
+        for (ForwardPart& part : m_execution.m_parts) {
+            part.m_given = part.m_given || part.m_state == ForwardPart::State::Answered;
+            part.m_hedgeAt = MonotonicTime::max();
+            part.m_retryAt = MonotonicTime::max();
+            stopWaitingFor(part);
+        }
+        m_execution.m_pausedUntil = std::min(m_now + m_state.m_settings.m_restOffer, m_execution.m_deadline);
+        m_effects.m_wakeAt = m_execution.m_pausedUntil;
+    }
+
+    // Too few shards at the goal: a late answer still serves the caller, while a failure makes it ask again for all
+    // shards, when the endpoints are at their limit already.
+    void askForRest()
+    {
+        for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
+            ForwardPart& part = m_execution.m_parts[index];
+            if (part.m_state != ForwardPart::State::Open || !part.m_restAt || part.m_openCalls > 0)
+                continue;
+            const auto untilDeadline = std::chrono::duration_cast<Milliseconds>(m_execution.m_deadline - m_now);
+            const MergeRestCall rest { m_execution.m_request.m_id, part.m_group.front(),
+                std::min(m_route.m_goal, untilDeadline) - m_state.m_settings.m_mergeReserve };
+            EndpointCall call;
+            writeMergeRestCall(rest, call);
+            dispatch(index, *part.m_restAt, std::move(call), CallKind::First);
+        }
+    }
+
     void stopWaitingFor(ForwardPart& part)
     {
         if (std::exchange(part.m_waiting, false))
@@ -135,6 +207,11 @@
     void takeFailure(std::size_t index, EndpointReply reply)
     {
         ForwardPart& part = m_execution.m_parts[index];
+        if (part.m_restAt) {
+            // Another VM would answer with shards that are in already.
+            settle(part, ForwardPart::State::Lost);
+            return;
+        }
         const bool notRun = provesNotRun(reply) || reply.m_wrongEndpoint;
         if (notRun)
             --part.m_mayHaveRun;
@@ -150,6 +227,8 @@
             settle(part, ForwardPart::State::Lost);
             return;
         }
+        if (m_execution.m_pausedUntil)
+            return;
         trySend(index, CallKind::Retry);
     }
 
@@ -229,11 +308,7 @@
     {
         ForwardPart& part = m_execution.m_parts[index];
         stopWaitingFor(part);
-        const AttemptNumber number(static_cast<std::uint32_t>(m_execution.m_calls.size()));
-        m_execution.m_calls.push_back(
-            { index, beginAttempt(routingOf(part), endpoint, false, m_now), kind == CallKind::Hedge });
         part.m_tried.push_back(endpoint);
-        ++part.m_openCalls;
         ++part.m_mayHaveRun;
         part.m_retryAt = MonotonicTime::max();
         // A merging VM hedges by itself; two of them together would ask too many endpoints of a shard.
@@ -242,7 +317,6 @@
             : MonotonicTime::max();
         const ForwardRequest& request = m_execution.m_request;
         EndpointCall call;
-        addressCall(routingOf(part), endpoint, call);
         if (part.m_group.empty()) {
             call.m_method = request.m_method;
             call.m_host = request.m_host;
@@ -250,10 +324,20 @@
             call.m_fields = request.m_fields;
             call.m_body = request.m_body;
         } else {
-            call.m_path = "/merge";
-            call.m_body = encodeMergeCall(request, part.m_group, attemptsLeft(part), goalLeftForMerger());
+            writeMergeCall(request, part.m_group, attemptsLeft(part), goalLeftForMerger(), call);
         }
-        call.m_request = request.m_id;
+        dispatch(index, endpoint, std::move(call), kind);
+    }
+
+    void dispatch(std::size_t index, EndpointIndex endpoint, EndpointCall call, CallKind kind)
+    {
+        ForwardPart& part = m_execution.m_parts[index];
+        const AttemptNumber number(static_cast<std::uint32_t>(m_execution.m_calls.size()));
+        m_execution.m_calls.push_back(
+            { index, beginAttempt(routingOf(part), endpoint, false, m_now), kind == CallKind::Hedge });
+        ++part.m_openCalls;
+        addressCall(routingOf(part), endpoint, call);
+        call.m_request = m_execution.m_request.m_id;
         call.m_attempt = number;
         call.m_deadline = m_execution.m_deadline;
         call.m_freshConnection = !mayRepeat();
@@ -376,9 +460,19 @@
     Step step(state, execution, now);
     // An answer that is due needs no further calls.
     ForwardEffects effects = step.finish();
-    if (effects.m_answer)
+    if (effects.m_answer || execution.m_finished || execution.m_pausedUntil)
         return effects;
     step.timer();
+    ForwardEffects later = step.finish();
+    later.m_sends.insert(later.m_sends.begin(), std::make_move_iterator(effects.m_sends.begin()),
+        std::make_move_iterator(effects.m_sends.end()));
+    return later;
+}
+
+ForwardEffects resumeForward(ForwardState& state, ForwardExecution& execution, Milliseconds goalLeft, MonotonicTime now)
+{
+    Step step(state, execution, now);
+    step.resume(goalLeft);
     return step.finish();
 }
 
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -34,6 +34,8 @@
     std::optional<EndpointReply> m_reply; // the answer, or the last failure of an endpoint
     std::vector<std::string> m_receipts; // of the shards that are answered
     std::string m_records; // of these shards
+    std::optional<EndpointIndex> m_restAt; // merging VM that still works on the rest of the group
+    bool m_given = false; // on a merging VM: contained in an answer that was given
 
     std::uint32_t shards() const { return m_group.empty() ? 1U : static_cast<std::uint32_t>(m_group.size()); }
 };
@@ -56,6 +58,8 @@
     std::uint32_t m_shards = 0;
     std::uint32_t m_answered = 0; // shards
     std::uint32_t m_lost = 0; // shards
+    // On a merging VM: an answer without all shards was given, and its successor may be asked for until this time.
+    std::optional<MonotonicTime> m_pausedUntil;
     bool m_finished = false;
 };
 
@@ -69,7 +73,9 @@
     };
 
     std::vector<Send> m_sends;
-    std::optional<ForwardAnswer> m_answer; // at most one in the life of an execution
+    // At most one in the life of an execution; after one that says that more follows, another one for each
+    // resumeForward().
+    std::optional<ForwardAnswer> m_answer;
     std::vector<ExecutionId> m_wake; // other executions that may now send
     // When forwardTimer() is to be called next; unset for no change after the answer.
     std::optional<MonotonicTime> m_wakeAt;
@@ -85,6 +91,13 @@
 /** Sends what is due and gives the answer at the goal or the deadline. */
 ForwardEffects forwardTimer(ForwardState& state, ForwardExecution& execution, MonotonicTime now);
 
+/**
+ * Goes on with an execution of a merging VM whose last answer said that more follows: the next answer holds the shards
+ * that no answer has held, and is given when all have ended or the time has passed.
+ */
+ForwardEffects resumeForward(
+    ForwardState& state, ForwardExecution& execution, Milliseconds goalLeft, MonotonicTime now);
+
 /** Ends the execution without an answer; the owner cancels its calls. */
 void abandonForward(ForwardState& state, ForwardExecution& execution);
 
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -40,7 +40,7 @@
     answer.m_kind = ForwardAnswer::Kind::Merged;
     std::vector<std::string_view> bodies;
     for (const ForwardPart& part : execution.m_parts) {
-        if (part.m_state != ForwardPart::State::Answered)
+        if (part.m_receipts.empty() || part.m_given)
             continue;
         bodies.push_back(part.m_records);
         answer.m_receipts.insert(answer.m_receipts.end(), part.m_receipts.begin(), part.m_receipts.end());
@@ -93,8 +93,11 @@
     if (shards - execution.m_lost < floor)
         return fail(execution, "too few shards can be reached");
     const bool complete = execution.m_answered + execution.m_lost == shards;
-    if (execution.m_answered >= floor && (complete || now >= execution.m_goalAt || now >= execution.m_deadline))
-        return merge(execution);
+    if (execution.m_answered >= floor && (complete || now >= execution.m_goalAt || now >= execution.m_deadline)) {
+        ForwardAnswer answer = merge(execution);
+        answer.m_moreFollows = partOnly && !complete && now < execution.m_deadline;
+        return answer;
+    }
     if (now >= execution.m_deadline)
         return deadlineAnswer(execution);
     return std::nullopt;
--- a/src/libflamingo/forward/forwardsettings.h
+++ b/src/libflamingo/forward/forwardsettings.h
@@ -36,6 +36,8 @@
     std::uint16_t m_mergePort = 0; // of merging VMs, the same on all; 0 for a single level
     // A merging VM answers this long before the entry VM has to.
     Milliseconds m_mergeReserve { 6 };
+    // After an answer that lacks shards a merging VM works on for this long, so that the entry VM can ask for the rest.
+    Milliseconds m_restOffer { 200 };
 
     Milliseconds m_shortestRetryAfter { 100 }; // in a refusal
     // In a refusal for want of a configuration: a control leader is elected within about this time.
--- a/src/libflamingo/forward/mergewire.cpp
+++ b/src/libflamingo/forward/mergewire.cpp
@@ -14,16 +14,19 @@
 using Json = nlohmann::json;
 
 constexpr char mergePath[] = "/merge";
+constexpr char restPath[] = "/merge/rest";
 constexpr char deadlineField[] = "X-Flamingo-Deadline-Ms";
 constexpr char notRunField[] = "X-Flamingo-Not-Run";
 constexpr std::size_t callFields = 15;
+constexpr std::size_t restFields = 3;
+constexpr std::size_t replyFields = 3;
 
-bool isValidCall(const EndpointCall& call) { return call.m_path == mergePath; }
+bool isValidCall(const EndpointCall& call) { return call.m_path == mergePath || call.m_path == restPath; }
 
 std::string writeCall(const EndpointCall& call, Milliseconds remaining)
 {
     std::string header = "POST ";
-    header.append(mergePath).append(" HTTP/1.1\r\nHost: ").append(call.m_address).append("\r\n");
+    header.append(call.m_path).append(" HTTP/1.1\r\nHost: ").append(call.m_address).append("\r\n");
     header.append("Content-Length: ").append(std::to_string(call.m_body.size())).append("\r\n");
     header.append(deadlineField).append(": ").append(std::to_string(remaining.count())).append("\r\n\r\n");
     return header;
@@ -70,8 +73,31 @@
 
 } // namespace
 
-std::string encodeMergeCall(const ForwardRequest& request, const std::vector<ServiceName>& shards,
-    std::uint32_t attempts, Milliseconds goalLeft)
+bool isMergeRestCall(const HttpRequest& http) { return http.m_target == restPath; }
+
+void writeMergeRestCall(const MergeRestCall& rest, EndpointCall& call)
+{
+    CborWriter writer;
+    writer.array(restFields);
+    writer.text(rest.m_request.value());
+    writer.text(rest.m_firstShard.value());
+    writer.unsignedInteger(static_cast<std::uint64_t>(std::max<Milliseconds::rep>(rest.m_goalLeft.count(), 0)));
+    call.m_path = restPath;
+    call.m_body = writer.take();
+}
+
+std::optional<MergeRestCall> decodeMergeRestCall(const HttpRequest& http)
+{
+    const Json json = Json::from_cbor(http.m_body, true, false);
+    if (!json.is_array() || json.size() != restFields || !json[0].is_string() || !json[1].is_string()
+        || !json[2].is_number_unsigned())
+        return std::nullopt;
+    return MergeRestCall { RequestId(json[0].get<std::string>()), ServiceName(json[1].get<std::string>()),
+        Milliseconds(json[2].get<std::uint32_t>()) };
+}
+
+void writeMergeCall(const ForwardRequest& request, const std::vector<ServiceName>& shards, std::uint32_t attempts,
+    Milliseconds goalLeft, EndpointCall& call)
 {
     const Route& route = *request.m_route;
     CborWriter writer;
@@ -97,7 +123,8 @@
     writer.text(route.m_key.m_pathPrefix);
     writer.text(route.m_name);
     writer.unsignedInteger(request.m_version.value());
-    return writer.take();
+    call.m_path = mergePath;
+    call.m_body = writer.take();
 }
 
 bool decodeMergeCall(const HttpRequest& http, ForwardRequest& request, Reason& reason)
@@ -138,11 +165,12 @@
         return response;
     }
     CborWriter writer;
-    writer.array(2);
+    writer.array(replyFields);
     writer.array(answer.m_receipts.size());
     for (const std::string& receipt : answer.m_receipts)
         writer.text(receipt);
     writer.bytes(answer.m_body);
+    writer.boolean(answer.m_moreFollows);
     response.m_body = writer.take();
     return response;
 }
@@ -150,7 +178,8 @@
 std::optional<MergeReply> decodeMergeReply(const std::string& body)
 {
     const Json json = Json::from_cbor(body, true, false);
-    if (!json.is_array() || json.size() != 2 || !json[0].is_array() || !json[1].is_binary())
+    if (!json.is_array() || json.size() != replyFields || !json[0].is_array() || !json[1].is_binary()
+        || !json[2].is_boolean())
         return std::nullopt;
     MergeReply reply;
     for (const Json& receipt : json[0]) {
@@ -160,6 +189,7 @@
     }
     const auto& records = json[1].get_binary();
     reply.m_records.assign(records.begin(), records.end());
+    reply.m_moreFollows = json[2].get<bool>();
     return reply;
 }
 
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -15,6 +15,15 @@
 constexpr int shardCount = 60;
 constexpr int vmCount = 30;
 
+HttpRequest toRequest(const EndpointCall& call)
+{
+    HttpRequest http;
+    http.m_target = call.m_path;
+    http.m_body = call.m_body;
+    http.m_fields.push_back({ "X-Flamingo-Deadline-Ms", "500" });
+    return http;
+}
+
 /** A VM among others that merge large fan-outs in two levels. */
 struct MergeFixture : ForwardFixture {
     MergeFixture()
@@ -40,21 +49,19 @@
         return m_state.m_mergers.m_table.m_members.at(mergeGroupName(group)).size();
     }
 
-    static EndpointReply merged(const EndpointCall& call, std::size_t answered)
+    /** The reply of a merging VM that holds the shards from the first one given on. */
+    static EndpointReply merged(
+        const EndpointCall& call, std::size_t answered, bool moreFollows = false, std::size_t first = 0)
     {
-        HttpRequest http;
-        http.m_target = call.m_path;
-        http.m_body = call.m_body;
-        http.m_fields.push_back({ "X-Flamingo-Deadline-Ms", "500" });
+        const HttpRequest http = toRequest(call);
         ForwardRequest request;
         Reason reason;
         REQUIRE(decodeMergeCall(http, request, reason));
         ForwardAnswer answer;
         answer.m_kind = ForwardAnswer::Kind::Merged;
-        for (const ServiceName& shard : request.m_route->m_shards) {
-            if (answer.m_receipts.size() < answered)
-                answer.m_receipts.push_back("receipt-" + shard.value());
-        }
+        for (std::size_t index = first; index < first + answered; ++index)
+            answer.m_receipts.push_back("receipt-" + request.m_route->m_shards.at(index).value());
+        answer.m_moreFollows = moreFollows;
         answer.m_body = std::string(recordBytes, 'x');
         EndpointReply reply;
         reply.m_outcome = CallOutcome::Answered;
@@ -139,15 +146,44 @@
     {
         const ForwardEffects retry = vm.reply(execution, started.m_sends[0], ForwardFixture::lost());
         REQUIRE(retry.m_sends.size() == 1);
-        HttpRequest http;
-        http.m_target = retry.m_sends[0].m_call.m_path;
-        http.m_body = retry.m_sends[0].m_call.m_body;
-        http.m_fields.push_back({ "X-Flamingo-Deadline-Ms", "500" });
+        const HttpRequest http = toRequest(retry.m_sends[0].m_call);
         ForwardRequest request;
         Reason reason;
         REQUIRE(decodeMergeCall(http, request, reason));
         CHECK(request.m_route->m_maxAttempts == 1);
     }
+    SECTION("with too few shards at the goal the rest is asked for")
+    {
+        for (const auto& send : started.m_sends)
+            CHECK_FALSE(vm.reply(execution, send, MergeFixture::merged(send.m_call, 4, true)).m_answer);
+        const ForwardEffects atGoal = vm.timer(execution, Milliseconds(100));
+        CHECK_FALSE(atGoal.m_answer);
+        REQUIRE(atGoal.m_sends.size() == started.m_sends.size());
+
+        // Guards against callers that are failed at the goal, ask again, and so add to the load that made them fail.
+        SECTION("of the same VMs, and a late answer leaves at the floor")
+        {
+            std::optional<ForwardAnswer> answer;
+            for (std::size_t group = 0; group < atGoal.m_sends.size(); ++group) {
+                CHECK(atGoal.m_sends[group].m_call.m_endpoint == started.m_sends[group].m_call.m_endpoint);
+                CHECK(isMergeRestCall(toRequest(atGoal.m_sends[group].m_call)));
+                const EndpointReply rest = MergeFixture::merged(started.m_sends[group].m_call, 6, false, 4);
+                ForwardEffects effects = vm.reply(execution, atGoal.m_sends[group], rest);
+                if (effects.m_answer)
+                    answer = std::move(effects.m_answer);
+            }
+            REQUIRE(answer);
+            CHECK(answer->m_kind == ForwardAnswer::Kind::Merged);
+            CHECK(std::set<std::string>(answer->m_receipts.begin(), answer->m_receipts.end()).size() == 54);
+            CHECK(answer->m_missingShards == 6); // it leaves when the floor is reached
+        }
+        SECTION("guards against shards that are counted twice: nobody else is asked when such a VM is lost")
+        {
+            const ForwardEffects lost = vm.reply(execution, atGoal.m_sends[0], ForwardFixture::lost());
+            CHECK(lost.m_sends.empty());
+            CHECK(execution.m_lost == 6);
+        }
+    }
     SECTION("a malformed reply of a merging VM is a failure, not an answer")
     {
         EndpointReply odd = MergeFixture::merged(started.m_sends[0].m_call, 10);
@@ -172,6 +208,25 @@
         REQUIRE(answer);
         CHECK(answer->m_receipts.size() == 1);
     }
+    SECTION("and later with the shards that came since")
+    {
+        vm.reply(execution, started.m_sends[0], ForwardFixture::success("r0"));
+        const auto first = vm.timer(execution, Milliseconds(50)).m_answer;
+        REQUIRE(first);
+        CHECK(first->m_moreFollows);
+        CHECK_FALSE(vm.reply(execution, started.m_sends[1], ForwardFixture::success("r1")).m_answer);
+        CHECK_FALSE(resumeForward(vm.m_state, execution, Milliseconds(80), vm.m_now).m_answer);
+        const auto rest = vm.reply(execution, started.m_sends[2], ForwardFixture::success("r2")).m_answer;
+        REQUIRE(rest);
+        CHECK(rest->m_receipts == std::vector<std::string> { "r1", "r2" });
+        CHECK_FALSE(rest->m_moreFollows);
+    }
+    SECTION("guards against work that is kept for ever: a rest that nobody asks for is dropped")
+    {
+        REQUIRE(vm.timer(execution, Milliseconds(50)).m_answer);
+        vm.timer(execution, Milliseconds(50) + vm.m_state.m_settings.m_restOffer);
+        CHECK(execution.m_finished);
+    }
     SECTION("and with nothing if nothing came")
     {
         const auto answer = vm.timer(execution, Milliseconds(50)).m_answer;
@@ -211,5 +266,6 @@
         if (!decodeMergeCall(http, request, reason))
             RC_ASSERT(resultClass(reason.m_code) == ResultClass::BadInput);
         decodeMergeReply(body);
+        decodeMergeRestCall(http);
     });
 }
