--- a/tests/process/tier.cpp
+++ b/tests/process/tier.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint16_t httpPort = 8400;
 constexpr std::uint16_t linkPort = 8401;
 constexpr std::uint16_t firstAdminPort = 9800;
+constexpr int firstRelayHost = 50; // last part of the address
 
 bool portsAreFree(const std::string& network, int vms)
 {
@@ -55,7 +56,7 @@
 
 } // namespace
 
-Tier::Tier(int vms)
+Tier::Tier(int vms, Links links)
     : m_network(freeNetwork(vms))
 {
     char folder[] = "/tmp/flamingo-process-XXXXXX";
@@ -65,7 +66,12 @@
     std::string members;
     std::string addresses;
     for (int number = 1; number <= controlVms; ++number) {
-        const std::string address = "\"" + vmAddress(number) + ":" + std::to_string(linkPort) + "\"";
+        std::string host = vmAddress(number);
+        if (links == Links::Relayed) {
+            host = m_network + "." + std::to_string(firstRelayHost + number);
+            m_relays.push_back(std::make_unique<SilentRelay>(host, linkPort, vmAddress(number), linkPort));
+        }
+        const std::string address = "\"" + host + ":" + std::to_string(linkPort) + "\"";
         members
             += (members.empty() ? "" : ", ") + ("{ vm: vm" + std::to_string(number)) + ", address: " + address + " }";
         addresses += (addresses.empty() ? "" : ", ") + address;
@@ -123,10 +129,16 @@
     scenario << "]\nfaults: " << faults << "\nservices:\n  - " << service << "\n";
     scenario.close();
     m_stubs.push_back(std::make_unique<ChildProcess>());
-    m_stubs.back()->start({ STUB_ENDPOINT, base + ".yaml" }, base + ".log");
+    restartStub(index);
     return index;
 }
 
+void Tier::restartStub(std::size_t index)
+{
+    const std::string base = m_folder + "/stub" + std::to_string(index);
+    stub(index).start({ STUB_ENDPOINT, base + ".yaml" }, base + ".log");
+}
+
 HttpReply Tier::stubCall(std::size_t index, const std::string& method, const std::string& path, const Json& body) const
 {
     return httpCall(m_network + ".250", static_cast<std::uint16_t>(firstAdminPort + index), method, path,
--- a/tests/process/tier.h
+++ b/tests/process/tier.h
@@ -2,6 +2,7 @@
 
 #include "process/childprocess.h"
 #include "process/httpcall.h"
+#include "support/silentrelay.h"
 
 #include <functional>
 #include <memory>
@@ -25,8 +26,14 @@
 public:
     static constexpr int controlVms = 3;
 
+    /** How VMs reach the control VMs. */
+    enum class Links {
+        Direct,
+        Relayed, // through linkRelay()
+    };
+
     /** Starts the daemons and waits until all are admitted and serve. */
-    explicit Tier(int vms);
+    explicit Tier(int vms, Links links = Links::Direct);
     ~Tier();
     Tier(const Tier&) = delete;
     Tier& operator=(const Tier&) = delete;
@@ -38,12 +45,18 @@
     const std::string& network() const { return m_network; }
     const std::string& folder() const { return m_folder; }
 
+    /** Returns the relay in front of a control VM's links. Precondition: the links are relayed. */
+    SilentRelay& linkRelay(int number) { return *m_relays.at(number - 1); }
+
     void startVm(int number);
     bool isServing(int number) const;
 
     /** Starts a stub process for a service ("{ name: ... }" in YAML flow style); returns its index. */
     std::size_t startStub(const std::string& service, const std::string& faults = "{}");
     ChildProcess& stub(std::size_t index) { return *m_stubs.at(index); }
+    std::size_t stubCount() const { return m_stubs.size(); }
+    /** Starts a stub process again that has ended. */
+    void restartStub(std::size_t index);
     HttpReply stubCall(std::size_t index, const std::string& method, const std::string& path, const Json& body) const;
     /** Returns the counters of one stub process; an empty object when it does not answer. */
     Json stubCounters(std::size_t index) const;
@@ -74,6 +87,7 @@
 private:
     std::string m_network;
     std::string m_folder;
+    std::vector<std::unique_ptr<SilentRelay>> m_relays; // in front of the links of each control VM
     std::vector<std::unique_ptr<ChildProcess>> m_vms;
     std::vector<std::unique_ptr<ChildProcess>> m_stubs;
     bool m_keep = false;
--- a/tests/support/silentrelay.h
+++ b/tests/support/silentrelay.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -14,7 +15,7 @@
 namespace flamingo::test {
 
 /**
- * TCP relay whose connections can go silent without being closed, as behind a silent partition.
+ * TCP relay whose connections can go silent without being closed, as behind a silent partition, be delayed or reset.
  *
  * Runs on its own thread. All methods are thread-safe, and they are in effect when they return.
  */
@@ -58,6 +59,18 @@
             silenceOpenConnections();
     }
 
+    /** While set, nothing that the callee sends reaches the caller; the other direction works. */
+    void setOneWay(bool oneWay)
+    {
+        onLoop([this, oneWay] { m_oneWay = oneWay; });
+    }
+
+    /** Holds back what arrives from now on, in both directions, for this long. */
+    void setDelay(std::chrono::milliseconds delay)
+    {
+        onLoop([this, delay] { m_delay = delay; });
+    }
+
     /** Closes all open connections. */
     void closeConnections()
     {
@@ -75,9 +88,12 @@
     using Error = boost::system::error_code;
 
     struct Pair : std::enable_shared_from_this<Pair> {
-        explicit Pair(Socket caller)
-            : m_caller(std::move(caller))
+        Pair(Socket caller, const SilentRelay& relay)
+            : m_relay(relay)
+            , m_caller(std::move(caller))
             , m_callee(m_caller.get_executor())
+            , m_callerTimer(m_caller.get_executor())
+            , m_calleeTimer(m_caller.get_executor())
         {
         }
         void close()
@@ -100,17 +116,35 @@
                         close();
                         return;
                     }
-                    boost::asio::async_write(to, boost::asio::buffer(buffer, count),
-                        [this, self, &from, &to, &buffer](Error failed, std::size_t) {
-                            if (failed && !m_silent)
-                                close();
-                            else if (!failed)
-                                pump(from, to, buffer);
-                        });
+                    if (m_relay.m_oneWay && &from == &m_callee) {
+                        pump(from, to, buffer);
+                        return;
+                    }
+                    pass(from, to, buffer, count);
                 });
         }
+        void pass(Socket& from, Socket& to, std::array<char, 16384>& buffer, std::size_t count)
+        {
+            const auto write = [this, self = shared_from_this(), &from, &to, &buffer, count](Error) {
+                boost::asio::async_write(to, boost::asio::buffer(buffer, count),
+                    [this, self, &from, &to, &buffer](Error failed, std::size_t) {
+                        if (failed && !m_silent)
+                            close();
+                        else if (!failed)
+                            pump(from, to, buffer);
+                    });
+            };
+            if (m_relay.m_delay.count() == 0)
+                return write(Error());
+            boost::asio::steady_timer& timer = &from == &m_caller ? m_callerTimer : m_calleeTimer;
+            timer.expires_after(m_relay.m_delay);
+            timer.async_wait(write);
+        }
+        const SilentRelay& m_relay;
         Socket m_caller;
         Socket m_callee;
+        boost::asio::steady_timer m_callerTimer;
+        boost::asio::steady_timer m_calleeTimer;
         std::array<char, 16384> m_fromCaller {};
         std::array<char, 16384> m_fromCallee {};
         bool m_silent = false;
@@ -127,7 +161,7 @@
             if (error)
                 return;
             ++m_accepted;
-            const auto pair = std::make_shared<Pair>(std::move(socket));
+            const auto pair = std::make_shared<Pair>(std::move(socket), *this);
             pair->m_silent = m_silent;
             // Closed pairs are dropped; a silent one stays open although its other side closed.
             m_pairs.erase(std::remove_if(m_pairs.begin(), m_pairs.end(),
@@ -152,6 +186,8 @@
     const std::uint16_t m_port;
     std::vector<std::shared_ptr<Pair>> m_pairs;
     bool m_silent = false;
+    bool m_oneWay = false;
+    std::chrono::milliseconds m_delay { 0 };
     std::atomic<std::uint64_t> m_accepted { 0 };
     std::thread m_thread;
 };
