--- a/src/libflamingo/consensus/consensusmember.cpp
+++ b/src/libflamingo/consensus/consensusmember.cpp
@@ -196,15 +196,21 @@
 {
     for (const LogEntryPtr& entry : entries) {
         m_delivered = entry->m_index;
-        if (const auto* bytes = std::get_if<std::string>(&entry->m_body))
+        if (const auto* bytes = std::get_if<std::string>(&entry->m_body)) {
+            m_deliveredBytes += bytes->size();
             m_callbacks.m_apply(entry->m_index, *bytes);
+        }
     }
 }
 
 bool ConsensusMember::takeSnapshotIfDue(MonotonicTime now)
 {
-    if (m_delivered.value() - m_raft.m_log.m_snapshot.m_index.value() < m_settings.m_snapshotInterval)
+    const std::uint64_t entries = m_delivered.value() - m_raft.m_log.m_snapshot.m_index.value();
+    const std::uint64_t last = m_raft.m_log.m_snapshot.m_size;
+    const bool worthIt = last <= m_settings.m_cheapSnapshotBytes || m_deliveredBytes >= last;
+    if (entries < m_settings.m_snapshotInterval || (!worthIt && entries < m_settings.m_longestSnapshotInterval))
         return true;
+    m_deliveredBytes = 0;
     const std::string bytes = m_callbacks.m_takeSnapshot();
     SnapshotInfo info;
     info.m_index = m_delivered;
--- a/src/libflamingo/consensus/consensusmember.h
+++ b/src/libflamingo/consensus/consensusmember.h
@@ -146,6 +146,7 @@
     std::map<VmId, Invitation> m_invitations;
     std::map<LogIndex, std::shared_ptr<const SnapshotReader>> m_sending; // snapshots under way to members
     LogIndex m_delivered; // last entry handed to the application
+    std::uint64_t m_deliveredBytes = 0; // of the entries delivered since the last snapshot
     bool m_busy = false; // effects are being carried out
     bool m_failed = false;
     Reason m_reason;
--- a/src/libflamingo/consensus/membersettings.h
+++ b/src/libflamingo/consensus/membersettings.h
@@ -24,7 +24,12 @@
     bool m_openMembership = false;
     // Must be unpredictable: the incarnation in the member id and the election timeouts are derived from it.
     std::uint64_t m_seed = 0;
-    std::uint64_t m_snapshotInterval = 256; // applied entries
+    // A snapshot of the state is due after this many applied entries. Writing it holds up the log, so one that is
+    // larger than m_cheapSnapshotBytes waits until the entries are as large as the last one; its cost then does not
+    // grow with the state. After m_longestSnapshotInterval entries it is due in any case, for their memory.
+    std::uint64_t m_snapshotInterval = 256;
+    std::uint64_t m_cheapSnapshotBytes = 65536;
+    std::uint64_t m_longestSnapshotInterval = 32768;
     std::size_t m_maxEntryBytes = std::size_t(4) << 20U;
     std::size_t m_maxUncommittedEntries = 8192;
     RaftOptions m_raft;
--- a/src/libflamingo/consensus/tests/replicationtest.cpp
+++ b/src/libflamingo/consensus/tests/replicationtest.cpp
@@ -27,6 +27,25 @@
     REQUIRE(cluster.m_violation.empty());
 }
 
+// Guards against a leader that loses its followers while it writes a large state again and again, as one with many
+// claims did on a busy machine.
+TEST_CASE("Snapshots cost in proportion to the entries, however large the state is")
+{
+    TestCluster cluster(1, 5);
+    cluster.m_snapshotInterval = 8;
+    cluster.startAll();
+    REQUIRE(cluster.awaitLeader());
+    std::uint64_t entryBytes = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const std::string entry = "entry" + std::to_string(i) + std::string(500, 'x');
+        entryBytes += entry.size();
+        REQUIRE(cluster.proposeAndAwait(entry));
+    }
+    REQUIRE(cluster.m_snapshotBytes > entryBytes);
+    // The state grows by each entry, so that the snapshots double in size.
+    REQUIRE(cluster.m_snapshotBytes < 10 * entryBytes);
+}
+
 // Guards against entries lost or reordered while members are away, and against full replays after a restart.
 TEST_CASE("Entries reach all members")
 {
--- a/src/libflamingo/consensus/tests/testcluster.cpp
+++ b/src/libflamingo/consensus/tests/testcluster.cpp
@@ -127,6 +127,7 @@
         std::ostringstream out;
         for (const auto& [index, bytes] : m_vms[vm].m_applied)
             out << index << ' ' << bytes << '\n';
+        m_snapshotBytes += out.str().size();
         return out.str();
     };
     callbacks.m_restoreSnapshot = [this, vm](LogIndex, const std::string& bytes, Reason&) {
--- a/src/libflamingo/consensus/tests/testcluster.h
+++ b/src/libflamingo/consensus/tests/testcluster.h
@@ -109,6 +109,7 @@
     RaftOptions m_options;
     std::string m_violation;
     std::uint64_t m_framesSent = 0;
+    std::uint64_t m_snapshotBytes = 0; // of all snapshots taken
 
 private:
     struct Frame {
