--- a/src/libflamingo/daemon/entryloop.cpp
+++ b/src/libflamingo/daemon/entryloop.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entryloop.h"
 
 #include "endpoint/endpointclient.h"
+#include "routing/connectionchanges.h"
 
 #include <boost/asio/post.hpp>
 
@@ -84,53 +85,24 @@
 {
     applyPublishedState(m_loop.m_routing, state, monotonicNow(), changes);
     std::atomic_store(&m_published, std::move(state));
-    if (changes != nullptr)
-        updateConnections(*changes);
-    else
-        updateAllConnections();
+    updateConnections(changes);
     m_queries.stateChanged();
     m_requests.stateChanged();
 }
 
-void EntryLoop::updateAllConnections()
+void EntryLoop::updateConnections(const std::vector<Change>* changes)
 {
-    const RoutingTable& table = m_loop.m_routing.m_table;
-    std::vector<EndpointId> gone;
-    for (const EndpointId& endpoint : m_connected) {
-        if (table.m_positions.count(endpoint) == 0)
-            gone.push_back(endpoint);
-    }
-    for (const EndpointId& endpoint : gone)
-        disconnectEndpoint(endpoint);
-    for (const auto& [endpoint, position] : table.m_positions)
-        connectEndpoint(position);
-}
-
-// A VM that joins or leaves changes the share of all endpoints; other changes concern one endpoint each.
-void EntryLoop::updateConnections(const std::vector<Change>& changes)
-{
-    const auto changesShares = [](const Change& change) {
+    // A VM that joins or leaves changes the share of all endpoints; other changes concern one endpoint each.
+    const auto concernsAll = [](const Change& change) {
         return std::holds_alternative<VmRecord>(change) || std::holds_alternative<ErasedVm>(change);
     };
-    if (std::any_of(changes.begin(), changes.end(), changesShares))
-        return updateAllConnections();
-    const RoutingTable& table = m_loop.m_routing.m_table;
-    for (const Change& change : changes) {
-        EndpointId endpoint;
-        if (const auto* record = std::get_if<EndpointRecord>(&change))
-            endpoint = record->m_id;
-        else if (const auto* erased = std::get_if<ErasedEndpoint>(&change))
-            endpoint = erased->m_endpoint;
-        else if (const auto* drain = std::get_if<OperatorDrainChange>(&change))
-            endpoint = drain->m_endpoint;
-        else
-            continue;
-        const auto position = table.m_positions.find(endpoint);
-        if (position == table.m_positions.end())
-            disconnectEndpoint(endpoint);
-        else
-            connectEndpoint(position->second);
+    const ConnectionChanges concerned = connectionChanges(m_loop.m_routing.m_table, m_connected, changes, concernsAll);
+    for (const EndpointId& endpoint : concerned.m_gone) {
+        m_client->forget(endpoint);
+        m_connected.erase(endpoint);
     }
+    for (const EndpointIndex endpoint : concerned.m_present)
+        connectEndpoint(endpoint);
 }
 
 void EntryLoop::connectEndpoint(EndpointIndex endpoint)
@@ -147,12 +119,6 @@
     m_client->warm(route.m_id, route.m_address, route.m_port, wanted);
 }
 
-void EntryLoop::disconnectEndpoint(const EndpointId& endpoint)
-{
-    m_client->forget(endpoint);
-    m_connected.erase(endpoint);
-}
-
 QueryAnswer EntryLoop::query(QueryRequest request)
 {
     const auto promise = std::make_shared<std::promise<QueryAnswer>>();
@@ -195,7 +161,7 @@
         return;
     m_leaseWasValid = valid;
     if (valid) {
-        updateAllConnections();
+        updateConnections(nullptr);
         return;
     }
     for (const EndpointId& endpoint : m_connected)
--- a/src/libflamingo/daemon/entryloop.h
+++ b/src/libflamingo/daemon/entryloop.h
@@ -51,10 +51,8 @@
 private:
     template <typename Work> void runOnLoop(Work work);
     void applyState(std::shared_ptr<const PublishedState> state, const std::vector<Change>* changes);
-    void updateAllConnections();
-    void updateConnections(const std::vector<Change>& changes);
+    void updateConnections(const std::vector<Change>* changes);
     void connectEndpoint(EndpointIndex endpoint);
-    void disconnectEndpoint(const EndpointId& endpoint);
     void scheduleTick();
     void tick();
 
--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "forward/mergeplan.h"
 #include "forward/mergewire.h"
+#include "routing/connectionchanges.h"
 
 #include <boost/asio/post.hpp>
 
@@ -163,30 +164,16 @@
 
 void ForwardLoop::updateConnections(const std::vector<Change>* changes)
 {
-    const RoutingTable& table = m_state.m_routing.m_table;
-    const auto concernsOneEndpoint = [](const Change& change) {
-        return std::holds_alternative<EndpointRecord>(change) || std::holds_alternative<ErasedEndpoint>(change);
+    const auto concernsAll = [](const Change& change) {
+        return !std::holds_alternative<EndpointRecord>(change) && !std::holds_alternative<ErasedEndpoint>(change);
     };
-    std::vector<EndpointId> gone;
-    for (const EndpointId& endpoint : m_connected) {
-        if (table.m_positions.count(endpoint) == 0)
-            gone.push_back(endpoint);
-    }
-    for (const EndpointId& endpoint : gone) {
+    const ConnectionChanges concerned = connectionChanges(m_state.m_routing.m_table, m_connected, changes, concernsAll);
+    for (const EndpointId& endpoint : concerned.m_gone) {
         m_client.forget(endpoint);
         m_connected.erase(endpoint);
     }
-    if (!changes || !std::all_of(changes->begin(), changes->end(), concernsOneEndpoint)) {
-        for (const auto& [id, index] : table.m_positions)
-            connectEndpoint(index);
-        return;
-    }
-    for (const Change& change : *changes) {
-        const auto* record = std::get_if<EndpointRecord>(&change);
-        const auto position = record ? table.m_positions.find(record->m_id) : table.m_positions.end();
-        if (position != table.m_positions.end())
-            connectEndpoint(position->second);
-    }
+    for (const EndpointIndex endpoint : concerned.m_present)
+        connectEndpoint(endpoint);
 }
 
 void ForwardLoop::connectEndpoint(EndpointIndex index)
