Give up merging VMs that are silent past the goal, and retire their connections together

Cause: a call to a merging VM on a connection that had gone silent waited until the request's deadline, so that the caller could not ask again (638 answers were 504), and each VM has about a hundred such connections, each used every ten seconds, so that requests failed for 20 s and more.

A call to a merging VM now ends one goal after the goal, when it should have been answered; the group counts as lost, nobody else is asked for it, and idle connections to all merging VMs that have not proven to work since are closed. The same bounds what a merging VM that stands still costs.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -39,6 +39,7 @@
     EndpointLimits limits;
     limits.m_connections = mergeConnections;
     limits.m_connectTimeout = mergeConnectTimeout;
+    limits.m_sharesSilence = true;
     return limits;
 }
 
--- a/src/libflamingo/endpoint/endpointcall.h
+++ b/src/libflamingo/endpoint/endpointcall.h
@@ -27,6 +27,8 @@
     HttpFields m_fields; // of a forwarded request
     std::string m_body;
     MonotonicTime m_deadline;
+    // The call ends as timed out at this time, although the other side may work until the deadline.
+    MonotonicTime m_answerBy = MonotonicTime::max();
     // Opens a connection for this call alone and closes it afterwards. Required for requests that
     // are not idempotent.
     bool m_freshConnection = false;
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -113,7 +113,7 @@
         running.m_pool = &pool;
         useAddress(pool, running.m_call.m_address, running.m_call.m_port);
         pool.m_queue.push_back(handle);
-        addDeadline({ running.m_call.m_deadline, handle });
+        addDeadline({ std::min(running.m_call.m_deadline, running.m_call.m_answerBy), handle });
         pump(pool);
         return handle;
     }
@@ -375,7 +375,12 @@
         }
         ++m_counters.m_connectionsRetired;
         abandon(call, failure(CallOutcome::TimedOut, "no answer by the deadline"));
-        retireUnproven(*pool, sentAt);
+        if (pool->m_limits.m_sharesSilence) {
+            for (auto& [endpoint, other] : m_pools)
+                retireUnproven(other, sentAt);
+        } else {
+            retireUnproven(*pool, sentAt);
+        }
         pump(*pool);
     }
 
--- a/src/libflamingo/endpoint/tests/endpointclient.cpp
+++ b/src/libflamingo/endpoint/tests/endpointclient.cpp
@@ -413,6 +413,39 @@
     }
 }
 
+SCENARIO("connections of a client go silent together")
+{
+    EndpointLimits limits;
+    limits.m_connections = 2;
+    limits.m_sharesSilence = true;
+    Bench bench(snapshotProtocol(), limits);
+    bool silent = false;
+    TestServer server(
+        bench.m_context, [&](const HttpRequest& request) { return silent ? Reaction {} : answer(request); });
+    bench.m_port = server.port();
+    EndpointCall other = bench.call();
+    other.m_endpoint = EndpointId("e2");
+    bench.start(bench.call());
+    bench.start(other);
+    bench.awaitReplies(2);
+    REQUIRE(server.m_accepted == 2);
+
+    // Guards against requests that fail one after another, each on a silent connection to another VM.
+    WHEN("a call is not answered by the time given, long before its deadline")
+    {
+        silent = true;
+        EndpointCall call = bench.call();
+        call.m_answerBy = monotonicNow() + 50ms;
+        bench.start(call);
+        bench.awaitReplies(3);
+        CHECK(bench.m_replies[2].m_outcome == CallOutcome::TimedOut);
+        silent = false;
+        bench.start(other);
+        bench.awaitReplies(4);
+        THEN("calls to other endpoints use new connections") { CHECK(server.m_accepted == 3); }
+    }
+}
+
 // Guards against use of a destroyed client, since daemons stop with calls in flight.
 TEST_CASE("A client may be destroyed by a handler and with calls in flight")
 {
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -194,6 +194,7 @@
                 std::min(m_route.m_goal, untilDeadline) - m_state.m_settings.m_mergeReserve };
             EndpointCall call;
             writeMergeRestCall(rest, call);
+            call.m_answerBy = mergerSilentAt();
             dispatch(index, *part.m_restAt, std::move(call), CallKind::First);
         }
     }
@@ -212,6 +213,11 @@
             settle(part, ForwardPart::State::Lost);
             return;
         }
+        if (!part.m_group.empty() && reply.m_outcome == CallOutcome::TimedOut) {
+            // It may have used up the attempts of its shards. The caller can still ask again within its time.
+            settle(part, ForwardPart::State::Lost);
+            return;
+        }
         const bool notRun = provesNotRun(reply) || reply.m_wrongEndpoint;
         if (notRun)
             --part.m_mayHaveRun;
@@ -324,6 +330,7 @@
             call.m_fields = request.m_fields;
             call.m_body = request.m_body;
         } else {
+            call.m_answerBy = mergerSilentAt();
             writeMergeCall(request, part.m_group, attemptsLeft(part), goalLeftForMerger(), call);
         }
         dispatch(index, endpoint, std::move(call), kind);
@@ -345,6 +352,13 @@
         m_effects.m_sends.push_back({ number, std::move(call), kind == CallKind::Hedge, !part.m_group.empty() });
     }
 
+    // A merging VM answers at the goal at the latest. One that is silent for a whole goal longer stands still, or the
+    // connection does.
+    MonotonicTime mergerSilentAt() const
+    {
+        return std::max(m_execution.m_goalAt, m_now + m_route.m_goal) + m_route.m_goal;
+    }
+
     // A merging VM that was lost may have asked one endpoint of each shard.
     std::uint32_t attemptsLeft(const ForwardPart& part) const
     {
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -184,6 +184,14 @@
             CHECK(execution.m_lost == 6);
         }
     }
+    SECTION("guards against callers held until the deadline: a silent merging VM is given up, and nobody else asked")
+    {
+        CHECK(started.m_sends[0].m_call.m_answerBy == vm.m_now + 2 * vm.m_fanOut.m_goal);
+        EndpointReply silent;
+        silent.m_outcome = CallOutcome::TimedOut;
+        CHECK(vm.reply(execution, started.m_sends[0], silent).m_sends.empty());
+        CHECK(execution.m_lost == 10);
+    }
     SECTION("a malformed reply of a merging VM is a failure, not an answer")
     {
         EndpointReply odd = MergeFixture::merged(started.m_sends[0].m_call, 10);
