Let the shutdown test of the API wait until the server has finished the first request

Cause: the server counts a request until its completion callback, which runs after the answer has left, so that the caller can be ahead of it. Shown by a run with a pause of 50 ms in that callback: the former test fails with the same values, this one passes. Ruled out as a trigger of its own: load alone (0 of 33 runs beside 12 busy processes). The check stands: the count must become 1 with one request in flight.

--- a/src/libflamingo/api/tests/apistoptest.cpp
+++ b/src/libflamingo/api/tests/apistoptest.cpp
@@ -59,6 +59,11 @@
     running.send("POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(goodQuery.size())
         + "\r\n\r\n" + goodQuery);
     gate.waitForWaiting(1);
+    // The server counts a request until it has handed over the answer, so that the caller of the first one can be here
+    // before the server has finished it.
+    const auto until = std::chrono::steady_clock::now() + 20s;
+    while (server.inFlight() != 1 && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(1ms);
     CHECK(server.inFlight() == 1);
 
     server.beginShutdown();
