Clear names and places that would stop a newcomer; no change of behaviour

A point in time was suggested by m_restAt, which is the merging VM that owns the rest: now m_restOwner. m_given, m_direct and m_told say what they hold (m_delivered, m_directServices, m_announced). Shared silence is a property of a client, not of one endpoint's limits, so it moved to EndpointClientSettings. settle() no longer tells groups from single services. The relay of the tests also delays, resets and cuts one way: FaultRelay.

--- a/src/libflamingo/control/controlclient.cpp
+++ b/src/libflamingo/control/controlclient.cpp
@@ -167,7 +167,7 @@
 
 void ControlClient::handle(const ControlAddresses& message, MonotonicTime)
 {
-    m_told = message.m_addresses;
+    m_announced = message.m_addresses;
     updateCandidates();
 }
 
@@ -243,7 +243,7 @@
 // The addresses of the settings stay as well: what a control VM told last may be out of date.
 void ControlClient::updateCandidates()
 {
-    m_candidates = m_told;
+    m_candidates = m_announced;
     for (const std::string& address : m_settings.m_controlAddresses) {
         if (std::find(m_candidates.begin(), m_candidates.end(), address) == m_candidates.end())
             m_candidates.push_back(address);
--- a/src/libflamingo/control/controlclient.h
+++ b/src/libflamingo/control/controlclient.h
@@ -171,7 +171,7 @@
     std::string m_linkAddress;
     MonotonicTime m_phaseSince;
     MonotonicTime m_retryAt;
-    std::vector<std::string> m_told; // addresses that a control VM told last
+    std::vector<std::string> m_announced; // addresses that a control VM told last
     std::vector<std::string> m_candidates; // addresses to try in turn
     std::size_t m_nextAddress = 0;
     std::string m_hint; // address to try next, from a NotLeader
--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -34,13 +34,13 @@
 // Part of the allowed extra load that the VMs plan with, since they do not see each other's calls.
 constexpr double extraLoadUsed = 0.75;
 
-EndpointLimits mergeLimits()
+EndpointClientSettings mergeClientSettings()
 {
-    EndpointLimits limits;
-    limits.m_connections = mergeConnections;
-    limits.m_connectTimeout = mergeConnectTimeout;
-    limits.m_sharesSilence = true;
-    return limits;
+    EndpointClientSettings settings;
+    settings.m_defaultLimits.m_connections = mergeConnections;
+    settings.m_defaultLimits.m_connectTimeout = mergeConnectTimeout;
+    settings.m_sharesSilence = true;
+    return settings;
 }
 
 ForwardState makeState(const Settings& settings)
@@ -64,7 +64,7 @@
     , m_ticker(m_io)
     , m_state(makeState(settings))
     , m_client(m_io, *protocol.m_endpoints)
-    , m_mergeClient(m_io, mergeProtocol(), mergeLimits())
+    , m_mergeClient(m_io, mergeProtocol(), mergeClientSettings())
     , m_runner(m_io, m_client, m_mergeClient, m_state, metrics)
     , m_callers(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); })
     , m_probes(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleProbe(*exchange); })
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -72,10 +72,10 @@
 
 class EndpointClient::Impl final : public detail::HttpConnectionOwner {
 public:
-    Impl(asio::io_context& context, const EndpointProtocol& protocol, const EndpointLimits& defaultLimits)
+    Impl(asio::io_context& context, const EndpointProtocol& protocol, const EndpointClientSettings& settings)
         : m_context(context)
         , m_protocol(protocol)
-        , m_defaultLimits(defaultLimits)
+        , m_settings(settings)
         , m_timer(context)
     {
     }
@@ -187,7 +187,7 @@
         ConnectionPool& pool = position->second;
         if (isNew) {
             pool.m_endpoint = endpoint;
-            pool.m_limits = m_defaultLimits;
+            pool.m_limits = m_settings.m_defaultLimits;
         }
         return pool;
     }
@@ -375,7 +375,7 @@
         }
         ++m_counters.m_connectionsRetired;
         abandon(call, failure(CallOutcome::TimedOut, "no answer by the deadline"));
-        if (pool->m_limits.m_sharesSilence) {
+        if (m_settings.m_sharesSilence) {
             for (auto& [endpoint, other] : m_pools)
                 retireUnproven(other, sentAt);
         } else {
@@ -531,7 +531,7 @@
 
     asio::io_context& m_context;
     const EndpointProtocol& m_protocol;
-    const EndpointLimits m_defaultLimits; // of endpoints without limits of their own
+    const EndpointClientSettings m_settings;
     std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
     MonotonicTimer m_timer;
     MonotonicTime m_armedFor = MonotonicTime::max();
@@ -543,8 +543,8 @@
 };
 
 EndpointClient::EndpointClient(
-    asio::io_context& context, const EndpointProtocol& protocol, const EndpointLimits& defaultLimits)
-    : m_impl(std::make_unique<Impl>(context, protocol, defaultLimits))
+    asio::io_context& context, const EndpointProtocol& protocol, const EndpointClientSettings& settings)
+    : m_impl(std::make_unique<Impl>(context, protocol, settings))
 {
 }
 
--- a/src/libflamingo/endpoint/endpointclient.h
+++ b/src/libflamingo/endpoint/endpointclient.h
@@ -2,6 +2,7 @@
 
 #include "endpoint/callhandle.h"
 #include "endpoint/endpointcall.h"
+#include "endpoint/endpointclientsettings.h"
 #include "endpoint/endpointcounters.h"
 #include "endpoint/endpointlimits.h"
 #include "endpoint/endpointprotocol.h"
@@ -26,7 +27,7 @@
 public:
     /** Creates a client without connections. The io_context must outlive the client. */
     explicit EndpointClient(boost::asio::io_context& context, const EndpointProtocol& protocol = snapshotProtocol(),
-        const EndpointLimits& defaultLimits = {});
+        const EndpointClientSettings& settings = {});
 
     /** Closes all connections at once. Handlers of unfinished calls are dropped without being called. */
     ~EndpointClient();
--- a/src/libflamingo/endpoint/endpointlimits.h
+++ b/src/libflamingo/endpoint/endpointlimits.h
@@ -16,9 +16,6 @@
     // it too, but no longer than this: the endpoint counts it until then, and a silent one never
     // confirms.
     Milliseconds m_closeTimeout { 100 };
-    // A call that times out here makes idle connections to all endpoints of the client doubtful, and not only those to
-    // its own: connections between VMs go silent together.
-    bool m_sharesSilence = false;
 };
 
 } // namespace flamingo
--- a/src/libflamingo/endpoint/tests/endpointbench.h
+++ b/src/libflamingo/endpoint/tests/endpointbench.h
@@ -14,8 +14,8 @@
 
 /** A client and the replies that its calls gave, in order. */
 struct Bench {
-    explicit Bench(const EndpointProtocol& protocol = snapshotProtocol(), const EndpointLimits& limits = {})
-        : m_client(m_context, protocol, limits)
+    explicit Bench(const EndpointProtocol& protocol = snapshotProtocol(), const EndpointClientSettings& settings = {})
+        : m_client(m_context, protocol, settings)
     {
     }
 
--- a/src/libflamingo/endpoint/tests/endpointclient.cpp
+++ b/src/libflamingo/endpoint/tests/endpointclient.cpp
@@ -392,9 +392,9 @@
 
 SCENARIO("calls to an endpoint without limits of its own")
 {
-    EndpointLimits limits;
-    limits.m_connections = 2;
-    Bench bench(snapshotProtocol(), limits);
+    EndpointClientSettings settings;
+    settings.m_defaultLimits.m_connections = 2;
+    Bench bench(snapshotProtocol(), settings);
     TestServer server(bench.m_context, [](const HttpRequest& request) {
         return Reaction { echo(request, "[]"), false, request["X-Flamingo-Request"] == "slow" ? 300ms : 0ms };
     });
@@ -415,10 +415,10 @@
 
 SCENARIO("connections of a client go silent together")
 {
-    EndpointLimits limits;
-    limits.m_connections = 2;
-    limits.m_sharesSilence = true;
-    Bench bench(snapshotProtocol(), limits);
+    EndpointClientSettings settings;
+    settings.m_defaultLimits.m_connections = 2;
+    settings.m_sharesSilence = true;
+    Bench bench(snapshotProtocol(), settings);
     bool silent = false;
     TestServer server(
         bench.m_context, [&](const HttpRequest& request) { return silent ? Reaction {} : answer(request); });
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -72,6 +72,7 @@
         part.m_receipts = { reply.m_receipt };
         part.m_records = m_route.m_shards.empty() ? std::string() : std::move(reply.m_body);
         part.m_reply = std::move(reply);
+        ++m_execution.m_answered;
         settle(part, ForwardPart::State::Answered);
     }
 
@@ -92,7 +93,7 @@
             return;
         for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
             ForwardPart& part = m_execution.m_parts[index];
-            if (part.m_state != ForwardPart::State::Open || part.m_restAt)
+            if (part.m_state != ForwardPart::State::Open || part.m_restOwner)
                 continue;
             if (part.m_openCalls == 0 && (m_now >= part.m_retryAt || part.m_waiting)) {
                 part.m_retryAt = MonotonicTime::max();
@@ -143,11 +144,8 @@
         part.m_hedgeAt = MonotonicTime::max();
         part.m_retryAt = MonotonicTime::max();
         stopWaitingFor(part);
-        part.m_restAt.reset();
-        const auto answered = static_cast<std::uint32_t>(part.m_receipts.size());
-        if (part.m_group.empty())
-            m_execution.m_answered += answered;
-        m_execution.m_lost += part.shards() - answered;
+        part.m_restOwner.reset();
+        m_execution.m_lost += part.shards() - static_cast<std::uint32_t>(part.m_receipts.size());
     }
 
     void takeMerged(ForwardPart& part, EndpointIndex merger, MergeReply reply)
@@ -163,7 +161,7 @@
         part.m_records.append(reply.m_records);
         part.m_hedgeAt = MonotonicTime::max();
         if (reply.m_moreFollows && part.m_openCalls == 0)
-            part.m_restAt = merger;
+            part.m_restOwner = merger;
         else
             settle(part, ForwardPart::State::Answered);
     }
@@ -172,7 +170,7 @@
     void pause()
     {
         for (ForwardPart& part : m_execution.m_parts) {
-            part.m_given = part.m_given || part.m_state == ForwardPart::State::Answered;
+            part.m_delivered = part.m_delivered || part.m_state == ForwardPart::State::Answered;
             part.m_hedgeAt = MonotonicTime::max();
             part.m_retryAt = MonotonicTime::max();
             stopWaitingFor(part);
@@ -187,7 +185,7 @@
     {
         for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
             ForwardPart& part = m_execution.m_parts[index];
-            if (part.m_state != ForwardPart::State::Open || !part.m_restAt || part.m_openCalls > 0)
+            if (part.m_state != ForwardPart::State::Open || !part.m_restOwner || part.m_openCalls > 0)
                 continue;
             const auto untilDeadline = std::chrono::duration_cast<Milliseconds>(m_execution.m_deadline - m_now);
             const MergeRestCall rest { m_execution.m_request.m_id, part.m_group.front(),
@@ -195,7 +193,7 @@
             EndpointCall call;
             writeMergeRestCall(rest, call);
             call.m_answerBy = mergerSilentAt();
-            dispatch(index, *part.m_restAt, std::move(call), CallKind::First);
+            dispatch(index, *part.m_restOwner, std::move(call), CallKind::First);
         }
     }
 
@@ -208,7 +206,7 @@
     void takeFailure(std::size_t index, EndpointReply reply)
     {
         ForwardPart& part = m_execution.m_parts[index];
-        if (part.m_restAt) {
+        if (part.m_restOwner) {
             // Another VM would answer with shards that are in already.
             settle(part, ForwardPart::State::Lost);
             return;
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -34,8 +34,8 @@
     std::optional<EndpointReply> m_reply; // the answer, or the last failure of an endpoint
     std::vector<std::string> m_receipts; // of the shards that are answered
     std::string m_records; // of these shards
-    std::optional<EndpointIndex> m_restAt; // merging VM that still works on the rest of the group
-    bool m_given = false; // on a merging VM: contained in an answer that was given
+    std::optional<EndpointIndex> m_restOwner; // merging VM that still works on the rest of the group
+    bool m_delivered = false; // on a merging VM: contained in an answer that was given
 
     std::uint32_t shards() const { return m_group.empty() ? 1U : static_cast<std::uint32_t>(m_group.size()); }
 };
@@ -58,7 +58,7 @@
     std::uint32_t m_shards = 0;
     std::uint32_t m_answered = 0; // shards
     std::uint32_t m_lost = 0; // shards
-    // On a merging VM: an answer without all shards was given, and its successor may be asked for until this time.
+    // On a merging VM: an answer without all shards was given, and the rest may be asked for until this time.
     std::optional<MonotonicTime> m_pausedUntil;
     bool m_finished = false;
 };
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -40,7 +40,7 @@
     answer.m_kind = ForwardAnswer::Kind::Merged;
     std::vector<std::string_view> bodies;
     for (const ForwardPart& part : execution.m_parts) {
-        if (part.m_receipts.empty() || part.m_given)
+        if (part.m_receipts.empty() || part.m_delivered)
             continue;
         bodies.push_back(part.m_records);
         answer.m_receipts.insert(answer.m_receipts.end(), part.m_receipts.begin(), part.m_receipts.end());
--- a/src/libflamingo/forward/forwardstate.h
+++ b/src/libflamingo/forward/forwardstate.h
@@ -26,7 +26,7 @@
     std::size_t m_mergeGroups = 0; // 0 while all fan-outs have a single level
     std::uint64_t m_mergeSignature = 0; // of the VMs and routes that the owners were worked out from
     std::set<ServiceName> m_ownShards; // shards of the groups that this VM owns
-    std::set<ServiceName> m_direct; // services that routes name and that are not merged in two levels
+    std::set<ServiceName> m_directServices; // services that routes name and that are not merged in two levels
 
     // How much later than planned answers have lately left at the goal.
     Microseconds m_goalLag { 2000 };
--- a/src/libflamingo/forward/mergeplan.cpp
+++ b/src/libflamingo/forward/mergeplan.cpp
@@ -96,9 +96,9 @@
     for (const auto& [key, route] : published.m_routes) {
         if (isLarge(state, route))
             continue;
-        state.m_direct.insert(route.m_shards.begin(), route.m_shards.end());
+        state.m_directServices.insert(route.m_shards.begin(), route.m_shards.end());
         for (const RouteTarget& target : route.m_targets)
-            state.m_direct.insert(target.m_service);
+            state.m_directServices.insert(target.m_service);
     }
 }
 
@@ -124,7 +124,8 @@
 
 bool callsDirectly(const ForwardState& state, const ServiceName& service)
 {
-    return state.m_mergeGroups == 0 || state.m_ownShards.count(service) > 0 || state.m_direct.count(service) > 0;
+    return state.m_mergeGroups == 0 || state.m_ownShards.count(service) > 0
+        || state.m_directServices.count(service) > 0;
 }
 
 void updateMergers(ForwardState& state, MonotonicTime now)
@@ -140,7 +141,7 @@
     table.m_sharers.clear();
     ++table.m_vmGeneration;
     state.m_ownShards.clear();
-    state.m_direct.clear();
+    state.m_directServices.clear();
     state.m_mergeGroups = state.m_settings.m_mergePort != 0 && vms.size() >= groups * 2 ? groups : 0;
     if (state.m_mergeGroups == 0)
         return;
--- a/src/libflamingo/link/tests/linktest.cpp
+++ b/src/libflamingo/link/tests/linktest.cpp
@@ -1,7 +1,7 @@
 #include "link/linkclient.h"
 #include "link/linkpath.h"
 #include "link/linkserver.h"
-#include "support/silentrelay.h"
+#include "support/faultrelay.h"
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
@@ -226,7 +226,7 @@
     }
     SECTION("a path that goes silent without closing ends the link on both sides")
     {
-        test::SilentRelay relay("127.0.10.2", 0, serverAddress, daemons.m_server.port());
+        test::FaultRelay relay("127.0.10.2", 0, serverAddress, daemons.m_server.port());
         const std::string viaRelay = "127.0.10.2:" + std::to_string(relay.port());
         REQUIRE(daemons.open(viaRelay));
         relay.silenceOpenConnections();
@@ -242,7 +242,7 @@
     }
     SECTION("a path that accepts connections and carries nothing ends the handshake")
     {
-        test::SilentRelay relay("127.0.10.2", 0, serverAddress, daemons.m_server.port());
+        test::FaultRelay relay("127.0.10.2", 0, serverAddress, daemons.m_server.port());
         relay.setSilent(true);
         REQUIRE(daemons.m_client.connect("127.0.10.2:" + std::to_string(relay.port()), entryLinkPath));
         REQUIRE(daemons.runUntil([&] { return !daemons.m_clientClosed.empty(); }));
--- a/tests/process/processqueries.cpp
+++ b/tests/process/processqueries.cpp
@@ -1,5 +1,5 @@
 #include "process/tier.h"
-#include "support/silentrelay.h"
+#include "support/faultrelay.h"
 
 #include <catch2/catch.hpp>
 
@@ -63,7 +63,7 @@
         tier.startStub(service(tier, "a", 1, 100));
         tier.waitForEndpoints(4, "verses", shards);
         // The second replica of shard 0 announces the relay's address, which forwards to the first replica.
-        SilentRelay relay(tier.network() + ".102", firstPort, tier.network() + ".100", firstPort);
+        FaultRelay relay(tier.network() + ".102", firstPort, tier.network() + ".100", firstPort);
         const Json announcement { { "action", "register" }, { "id", "relayed" }, { "incarnation", 1 },
             { "service", "verses" }, { "address", tier.network() + ".102" }, { "port", firstPort },
             { "data_centre", "dc1" }, { "slots", 4 }, { "connections", 60 },
--- a/tests/process/tier.cpp
+++ b/tests/process/tier.cpp
@@ -69,7 +69,7 @@
         std::string host = vmAddress(number);
         if (links == Links::Relayed) {
             host = m_network + "." + std::to_string(firstRelayHost + number);
-            m_relays.push_back(std::make_unique<SilentRelay>(host, linkPort, vmAddress(number), linkPort));
+            m_relays.push_back(std::make_unique<FaultRelay>(host, linkPort, vmAddress(number), linkPort));
         }
         const std::string address = "\"" + host + ":" + std::to_string(linkPort) + "\"";
         members
--- a/tests/process/tier.h
+++ b/tests/process/tier.h
@@ -2,7 +2,7 @@
 
 #include "process/childprocess.h"
 #include "process/httpcall.h"
-#include "support/silentrelay.h"
+#include "support/faultrelay.h"
 
 #include <functional>
 #include <memory>
@@ -46,7 +46,7 @@
     const std::string& folder() const { return m_folder; }
 
     /** Returns the relay in front of a control VM's links. Precondition: the links are relayed. */
-    SilentRelay& linkRelay(int number) { return *m_relays.at(number - 1); }
+    FaultRelay& linkRelay(int number) { return *m_relays.at(number - 1); }
 
     void startVm(int number);
     bool isServing(int number) const;
@@ -87,7 +87,7 @@
 private:
     std::string m_network;
     std::string m_folder;
-    std::vector<std::unique_ptr<SilentRelay>> m_relays; // in front of the links of each control VM
+    std::vector<std::unique_ptr<FaultRelay>> m_relays; // in front of the links of each control VM
     std::vector<std::unique_ptr<ChildProcess>> m_vms;
     std::vector<std::unique_ptr<ChildProcess>> m_stubs;
     bool m_keep = false;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -118,7 +118,7 @@
             process.kill();
     }
 
-    static void heal(SilentRelay& relay)
+    static void heal(FaultRelay& relay)
     {
         relay.setSilent(false);
         relay.setOneWay(false);
--- a/tests/support/silentrelay.h
+++ b/tests/support/faultrelay.h
@@ -19,10 +19,10 @@
  *
  * Runs on its own thread. All methods are thread-safe, and they are in effect when they return.
  */
-class SilentRelay {
+class FaultRelay {
 public:
     /** Listens on an IP address (port 0: chosen) and forwards to a target, which is connected to lazily. */
-    SilentRelay(
+    FaultRelay(
         const std::string& address, std::uint16_t port, const std::string& targetAddress, std::uint16_t targetPort)
         : m_target(boost::asio::ip::make_address(targetAddress), targetPort)
         , m_acceptor(m_io, { boost::asio::ip::make_address(address), port })
@@ -32,13 +32,13 @@
         m_thread = std::thread([this] { m_io.run(); });
     }
 
-    ~SilentRelay()
+    ~FaultRelay()
     {
         m_io.stop();
         m_thread.join();
     }
-    SilentRelay(const SilentRelay&) = delete;
-    SilentRelay& operator=(const SilentRelay&) = delete;
+    FaultRelay(const FaultRelay&) = delete;
+    FaultRelay& operator=(const FaultRelay&) = delete;
 
     std::uint16_t port() const { return m_port; }
 
@@ -88,7 +88,7 @@
     using Error = boost::system::error_code;
 
     struct Pair : std::enable_shared_from_this<Pair> {
-        Pair(Socket caller, const SilentRelay& relay)
+        Pair(Socket caller, const FaultRelay& relay)
             : m_relay(relay)
             , m_caller(std::move(caller))
             , m_callee(m_caller.get_executor())
@@ -140,7 +140,7 @@
             timer.expires_after(m_relay.m_delay);
             timer.async_wait(write);
         }
-        const SilentRelay& m_relay;
+        const FaultRelay& m_relay;
         Socket m_caller;
         Socket m_callee;
         boost::asio::steady_timer m_callerTimer;
