Accept every settings file that the platform may fill in

Cause: the template passes bounds.retryBudgetExtra on, which may have a fraction, to a setting that took whole numbers only; each entry process ended with code 2 at every start. The same held for a limit that is null or missing and for a name that YAML reads as something else than text.

Change: the two limits of extra load are decimal numbers, read independently of the locale and without hexadecimal floats. A key without a value counts as absent. The share may be up to 10, as extra_load of a service: a check that refused 1.5 now refuses 10.5, since a limit above one extra call a request is valid.

--- a/src/libflamingo/settings/settings.h
+++ b/src/libflamingo/settings/settings.h
@@ -49,7 +49,7 @@
     std::uint16_t m_mergePort = 0; // port for shard calls from other VMs, the same on all VMs; 0 disables it
     // Limits on extra calls to a service: a fraction of its requests, and in addition a number for all VMs together.
     double m_extraLoadShare = 0.2;
-    std::uint32_t m_extraLoadCalls = 100;
+    double m_extraLoadCalls = 100.0;
 };
 
 /** Control VMs that are known by their address only. They form the first cluster. */
--- a/src/libflamingo/settings/settingsreader.cpp
+++ b/src/libflamingo/settings/settingsreader.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::uint32_t maxCount = 100000;
 constexpr std::uint32_t maxWeight = 1000;
+constexpr double maxExtraLoadShare = 10.0;
+constexpr double maxExtraLoadCalls = 1e9;
 constexpr std::uint64_t minBodyBytes = 1024;
 // Equal to the largest answer of an endpoint.
 constexpr std::uint64_t maxBodyBytes = 4ULL * 1024 * 1024;
@@ -74,8 +76,8 @@
     section.duration("stale_limit", minStaleLimit, maxDuration, routes.m_staleLimit);
     section.duration("drain_wait", Milliseconds(0), maxDuration, routes.m_drainWait);
     section.port("merge_port", routes.m_mergePort);
-    section.fraction("extra_load_share", routes.m_extraLoadShare);
-    section.number("extra_load_calls", 0U, maxCount, routes.m_extraLoadCalls);
+    section.decimal("extra_load_share", 0.0, maxExtraLoadShare, routes.m_extraLoadShare);
+    section.decimal("extra_load_calls", 0.0, maxExtraLoadCalls, routes.m_extraLoadCalls);
     section.checkKeys();
 }
 
--- a/src/libflamingo/settings/settingssection.cpp
+++ b/src/libflamingo/settings/settingssection.cpp
@@ -8,7 +8,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iomanip>
 #include <limits>
+#include <locale>
+#include <sstream>
 #include <utility>
 
 namespace flamingo::detail {
@@ -28,6 +31,15 @@
     return number;
 }
 
+// Returns the number as an operator would write it: "0.25", not "0.250000".
+std::string printNumber(double number)
+{
+    std::ostringstream text;
+    text.imbue(std::locale::classic());
+    text << std::setprecision(std::numeric_limits<double>::digits10) << number;
+    return text.str();
+}
+
 bool isName(const std::string& text)
 {
     return !text.empty() && text.size() <= maxNameBytes && std::all_of(text.begin(), text.end(), [](unsigned char c) {
@@ -75,12 +87,22 @@
         m_errors.add(node.Mark(), m_path.empty() ? "settings" : m_path, describe(node), "a map");
 }
 
+bool SettingsSection::hasValue(const std::string& key) const
+{
+    if (!m_present)
+        return false;
+    const YAML::Node value = m_node[key];
+    return value.IsDefined() && !value.IsNull();
+}
+
 YAML::Node SettingsSection::find(const std::string& key)
 {
     m_knownKeys.push_back(key);
+    if (!hasValue(key))
+        return YAML::Node(YAML::NodeType::Undefined);
     // Indexing a non-const node by an absent key would add the key.
     const YAML::Node& node = m_node;
-    return m_present ? node[key] : YAML::Node(YAML::NodeType::Undefined);
+    return node[key];
 }
 
 SettingsSection SettingsSection::section(const std::string& key)
@@ -197,16 +219,16 @@
         error(key, "'" + *found + "'", allowed);
 }
 
-void SettingsSection::fraction(const std::string& key, double& target)
+void SettingsSection::decimal(const std::string& key, double low, double high, double& target)
 {
-    const std::string allowed = "a number from 0 to 1";
+    const std::string allowed = "a number from " + printNumber(low) + " to " + printNumber(high);
     const auto found = scalar(key, allowed);
     if (!found)
         return;
-    char* end = nullptr;
-    const double value = std::strtod(found->c_str(), &end);
-    if (end == found->c_str() + found->size() && !found->empty() && value >= 0.0 && value <= 1.0)
-        target = value;
+    const auto value = parseNumber<double>(*found);
+    // Written so that it is false for a value that is not a number.
+    if (value && *value >= low && *value <= high)
+        target = *value;
     else
         error(key, "'" + *found + "'", allowed);
 }
@@ -258,8 +280,7 @@
 
 void SettingsSection::require(const std::string& key, const std::string& allowed)
 {
-    const YAML::Node& node = m_node;
-    if (!m_present || !node[key].IsDefined())
+    if (!hasValue(key))
         error(key, "nothing", allowed);
 }
 
--- a/src/libflamingo/settings/settingssection.h
+++ b/src/libflamingo/settings/settingssection.h
@@ -24,8 +24,9 @@
 /**
  * Reader for one map of the settings file.
  *
- * Each function that reads a value marks its key as known and leaves the target unchanged if the key is absent or its
- * value is invalid. An invalid value is reported as an error. checkKeys() reports the keys that are not known.
+ * Each function that reads a value marks its key as known and leaves the target unchanged if the key is absent, has no
+ * value or an invalid one. A key without a value ("grace:") counts as absent, since a template leaves it behind when it
+ * has nothing to fill in. An invalid value is reported as an error. checkKeys() reports the keys that are not known.
  * Not thread-safe.
  */
 class SettingsSection {
@@ -50,7 +51,7 @@
     void port(const std::string& key, std::uint16_t& target);
     void duration(const std::string& key, Milliseconds low, Milliseconds high, Milliseconds& target);
     void size(const std::string& key, std::uint64_t low, std::uint64_t high, std::uint64_t& target);
-    void fraction(const std::string& key, double& target);
+    void decimal(const std::string& key, double low, double high, double& target);
     void ip(const std::string& key, std::string& target);
     void address(const std::string& key, SocketAddress& target);
 
@@ -60,7 +61,7 @@
     /** Reports an error at the line of the key, or of the section if the key is empty or absent. */
     void error(const std::string& key, const std::string& found, const std::string& allowed);
 
-    /** Reports an error if the key is absent. */
+    /** Reports an error if the key is absent or has no value. */
     void require(const std::string& key, const std::string& allowed);
 
     /** Reports unknown and repeated keys. To be called after all values have been read. */
@@ -70,6 +71,7 @@
     std::vector<std::string> keys();
 
 private:
+    bool hasValue(const std::string& key) const;
     YAML::Node find(const std::string& key);
     std::optional<std::string> scalar(const std::string& key, const std::string& allowed);
 
