Keep calls of fan-outs in the own data centre while a replica there keeps up

Cause: a call to another data centre counted as 1.5 ms more, less than the differences that a few calls in flight make, so that fan-outs sent a large part of their calls elsewhere; merging VMs were chosen among all data centres.

Change: for fan-outs the penalty is a fifth of the route's goal, single calls keep the former one. Each data centre has owners of every merge group.

--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -268,7 +268,8 @@
         const auto found = members.find(part.m_service);
         const std::vector<EndpointIndex>& replicas = found == members.end() ? none : found->second;
         const bool hedge = kind == CallKind::Hedge;
-        const PlacementRequest request { typicalLatency(m_state, m_route), replicas, part.m_triedEndpoints, hedge };
+        const PlacementRequest request { typicalLatency(m_state, m_route), remotePenalty(m_route), replicas,
+            part.m_triedEndpoints, hedge };
         EndpointChoice choice = placeCall(routing, request, m_state.m_random, m_now);
         if (choice.m_endpoint || hedge || part.m_triedEndpoints.empty() || choice.m_busy)
             return choice;
--- a/src/libflamingo/forward/mergeplan.cpp
+++ b/src/libflamingo/forward/mergeplan.cpp
@@ -5,6 +5,7 @@
 #include "routing/connectionshare.h"
 
 #include <algorithm>
+#include <map>
 
 namespace flamingo {
 
@@ -42,13 +43,32 @@
     return largest;
 }
 
-VmList ownersOf(VmList vms, std::size_t group, std::size_t count)
+std::map<DataCentreName, VmList> byDataCentre(const VmList& vms)
+{
+    std::map<DataCentreName, VmList> result;
+    for (const VmRecord* vm : vms)
+        result[vm->m_dataCentre].push_back(vm);
+    return result;
+}
+
+std::size_t divideRoundingUp(std::size_t dividend, std::size_t divisor) { return (dividend + divisor - 1) / divisor; }
+
+// Returns the owners of the group: a share of the VMs of each data centre, so that each VM has an owner close by.
+VmList ownersOf(const std::map<DataCentreName, VmList>& dataCentres, std::size_t group, std::size_t groups)
 {
     const std::uint64_t key = hashBytes(mergeGroupName(group).value());
     const auto score = [key](const VmRecord* vm) { return rendezvousScore(key, hashBytes(vm->m_id.value())); };
-    std::sort(vms.begin(), vms.end(), [&score](const VmRecord* a, const VmRecord* b) { return score(a) > score(b); });
-    vms.resize(std::min(count, vms.size()));
-    return vms;
+    const std::size_t minInDataCentre = divideRoundingUp(minOwners, dataCentres.size());
+    VmList owners;
+    for (const auto& [dataCentre, vms] : dataCentres) {
+        VmList ranked = vms;
+        std::sort(ranked.begin(), ranked.end(),
+            [&score](const VmRecord* a, const VmRecord* b) { return score(a) > score(b); });
+        const std::size_t count = std::max(minInDataCentre, divideRoundingUp(vms.size(), groups));
+        ranked.resize(std::min(count, ranked.size()));
+        owners.insert(owners.end(), ranked.begin(), ranked.end());
+    }
+    return owners;
 }
 
 EndpointRecord mergerRecord(const VmRecord& vm, std::size_t group, std::uint16_t port)
@@ -146,14 +166,15 @@
     state.m_mergeGroups = state.m_settings.m_mergePort != 0 && vms.size() >= groups * 2 ? groups : 0;
     if (state.m_mergeGroups == 0)
         return;
-    const std::size_t owners = std::max(minOwners, (vms.size() + groups - 1) / groups);
+    const std::map<DataCentreName, VmList> dataCentres = byDataCentre(vms);
+    const std::size_t owners = ownersOf(dataCentres, 0, groups).size(); // the same for each group
     auto mergers = std::make_shared<PublishedState>();
     VmRecord self;
     self.m_id = state.m_routing.m_settings.m_vm;
     mergers->m_vms[self.m_id] = self;
     std::vector<bool> own(groups, false);
     for (std::size_t group = 0; group < groups; ++group) {
-        for (const VmRecord* vm : ownersOf(vms, group, owners)) {
+        for (const VmRecord* vm : ownersOf(dataCentres, group, groups)) {
             own[group] = own[group] || vm->m_id == self.m_id;
             EndpointRecord record = mergerRecord(*vm, group, state.m_settings.m_mergePort);
             mergers->m_endpoints[record.m_id] = std::move(record);
--- a/src/libflamingo/forward/placement.cpp
+++ b/src/libflamingo/forward/placement.cpp
@@ -9,8 +9,9 @@
 
 // Assumed latency of a route's calls until the first ones have ended.
 constexpr Microseconds initialLatency { 5000 };
-// Penalty for calls to another data centre, whose traffic is charged. Comes on top of their latency.
-constexpr double remoteCost = 1500.0; // µs
+// Least penalty for calls to another data centre, whose traffic is charged. Comes on top of their latency.
+constexpr Microseconds minRemotePenalty { 1500 };
+constexpr double remoteGoalShare = 0.2; // penalty of a fan-out's calls, as a share of the route's goal
 // Penalty for a refused or failed call: the time until the retry, and the extra load.
 constexpr double failedCallCost = 40000.0; // µs
 // An endpoint is stalled if none of its calls has ended for this multiple of the typical latency and for minStall.
@@ -32,8 +33,10 @@
 }
 
 // Returns the expected latency of a call to the endpoint in microseconds, penalties included.
-double expectedCost(const RoutingState& routing, EndpointIndex index, double typical, MonotonicTime now)
+double expectedCost(
+    const RoutingState& routing, EndpointIndex index, const PlacementRequest& request, MonotonicTime now)
 {
+    const auto typical = static_cast<double>(request.m_typicalLatency.count());
     const EndpointRoute& route = routing.m_table.m_endpoints[index.value()];
     const EndpointStats& stats = routing.m_endpoints[index.value()];
     const Milliseconds halfLife = routing.m_settings.m_statsHalfLife;
@@ -44,7 +47,7 @@
     latency *= 1.0 + coldFactor * (1.0 - rampShare(stats, routing.m_settings, now));
     double cost = latency + failedCallCost * stats.m_failureRate * decayFactor(stats.m_failureRateAt, now, halfLife);
     if (route.m_dataCentre != routing.m_settings.m_dataCentre)
-        cost += remoteCost;
+        cost += static_cast<double>(request.m_remotePenalty.count());
     const double waiting = microseconds(now - stats.m_lastProgressAt);
     if (stats.m_inFlight > 0 && waiting > std::max(minStall, stallLatencyFactor * typical))
         cost += stallCost;
@@ -58,6 +61,14 @@
 
 } // namespace
 
+Microseconds remotePenalty(const Route& route)
+{
+    if (route.m_shards.empty())
+        return minRemotePenalty;
+    const std::chrono::duration<double, std::milli> share(double(route.m_goal.count()) * remoteGoalShare);
+    return std::max(minRemotePenalty, std::chrono::duration_cast<Microseconds>(share));
+}
+
 Microseconds typicalLatency(const ForwardState& state, const Route& route)
 {
     const auto known = state.m_latencies.find(route.m_key);
@@ -70,7 +81,6 @@
 EndpointChoice placeCall(
     RoutingState& routing, const PlacementRequest& request, RandomEngine& random, MonotonicTime now)
 {
-    const auto typical = static_cast<double>(request.m_typicalLatency.count());
     std::uniform_real_distribution<double> noise(1.0 - jitter, 1.0 + jitter);
     EndpointChoice choice;
     std::optional<EndpointIndex> lastResort;
@@ -90,7 +100,7 @@
         } else if (!canTakeCall(routing, index, now)) {
             choice.m_busy = true;
         } else {
-            const double cost = expectedCost(routing, index, typical, now) * noise(random);
+            const double cost = expectedCost(routing, index, request, now) * noise(random);
             if (!choice.m_endpoint || cost < lowestCost) {
                 choice.m_endpoint = index;
                 lowestCost = cost;
--- a/src/libflamingo/forward/placement.h
+++ b/src/libflamingo/forward/placement.h
@@ -9,6 +9,7 @@
 /** Criteria for choosing the endpoint of a call. */
 struct PlacementRequest {
     Microseconds m_typicalLatency { 0 }; // of calls of the route
+    Microseconds m_remotePenalty { 0 }; // added to the expected time of an endpoint in another data centre
     const std::vector<EndpointIndex>& m_replicas; // endpoints of the service
     const std::vector<EndpointIndex>& m_excluded; // already tried, not chosen again
     bool m_hedge = false; // a hedge must not fall back to an ejected endpoint
@@ -26,6 +27,15 @@
 EndpointChoice placeCall(
     RoutingState& routing, const PlacementRequest& request, RandomEngine& random, MonotonicTime now);
 
+/**
+ * Returns the penalty for calling an endpoint in another data centre.
+ *
+ * Traffic between data centres is charged, and a fan-out sends a request to every shard. So its calls stay in the own
+ * data centre unless a replica there is expected to use up a fifth of the goal more. Calls to a single service are few,
+ * and balance across its endpoints matters more.
+ */
+Microseconds remotePenalty(const Route& route);
+
 /** Returns the median latency of the route's calls, or a default before the first ones have ended. */
 Microseconds typicalLatency(const ForwardState& state, const Route& route);
 
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -245,6 +245,52 @@
     }
 }
 
+// Guards against merge calls to other data centres, whose traffic is charged, although VMs nearby could merge as well.
+TEST_CASE("each data centre has owners of every group", "[forward]")
+{
+    MergeFixture vm;
+    int number = 0;
+    for (auto& [id, record] : vm.m_published.m_vms) {
+        record.m_dataCentre = DataCentreName(std::to_string(++number % 3));
+        record.m_incarnation = Incarnation(2);
+    }
+    vm.m_published.m_vms[VmId("vm")].m_dataCentre = DataCentreName("north");
+    vm.m_published.m_vms[VmId("vm1")].m_dataCentre = DataCentreName("north");
+    vm.apply();
+    const RoutingTable& table = vm.m_state.m_mergers.m_table;
+    for (std::size_t group = 0; group < 6; ++group) {
+        std::map<std::string, int> owners;
+        for (const EndpointIndex index : table.m_members.at(mergeGroupName(group)))
+            ++owners[table.m_endpoints.at(index.value()).m_dataCentre.value()];
+        CHECK(owners.size() == 4);
+        CHECK(owners["north"] == 1);
+        CHECK(owners["0"] == 2);
+    }
+
+    SECTION("and calls go to them while they answer")
+    {
+        int remote = 0;
+        for (int query = 0; query < 20; ++query) {
+            ForwardExecution execution = vm.execution(vm.m_fanOut);
+            for (const auto& send : vm.start(execution).m_sends) {
+                const EndpointIndex index = table.m_positions.at(send.m_call.m_endpoint);
+                remote += table.m_endpoints.at(index.value()).m_dataCentre == DataCentreName("north") ? 0 : 1;
+                vm.reply(execution, send, MergeFixture::merged(send.m_call, 10));
+            }
+            vm.m_now += Milliseconds(100);
+        }
+        CHECK(remote == 0);
+    }
+    SECTION("and an owner elsewhere is called when the one nearby is lost")
+    {
+        ForwardExecution execution = vm.execution(vm.m_fanOut);
+        const ForwardEffects started = vm.start(execution);
+        const ForwardEffects retry = vm.reply(execution, started.m_sends[0], ForwardFixture::lost());
+        REQUIRE(retry.m_sends.size() == 1);
+        CHECK(retry.m_sends[0].m_call.m_endpoint != started.m_sends[0].m_call.m_endpoint);
+    }
+}
+
 TEST_CASE("small fan-outs and small systems use a single level", "[forward]")
 {
     MergeFixture vm;
--- a/src/libflamingo/forward/tests/placementtest.cpp
+++ b/src/libflamingo/forward/tests/placementtest.cpp
@@ -104,3 +104,64 @@
         CHECK(vm.start(second).m_sends.size() == 1);
     }
 }
+
+// Guards against fan-outs that send most of their calls to other data centres, whose traffic is charged, because the
+// endpoint nearby is a little slower for a moment. Load: each query calls every shard, replicas are in two data
+// centres.
+TEST_CASE("calls of a fan-out stay in the own data centre while a replica there keeps up", "[forward]")
+{
+    ForwardFixture vm(20);
+    for (auto& [id, endpoint] : vm.m_published.m_endpoints) {
+        if (id.value().back() == 'b')
+            endpoint.m_dataCentre = DataCentreName("south");
+    }
+    vm.m_state = makeForwardState(VmId("vm"), DataCentreName("north"));
+    vm.apply();
+    const auto isLocal = [](const ForwardEffects::Send& send) { return send.m_call.m_endpoint.value().back() == 'a'; };
+    // Plays queries, one after another, and returns the share of their first calls that stay.
+    const auto play = [&](int queries, Milliseconds localLatency, Milliseconds remoteLatency) {
+        CallShare share;
+        for (int query = 0; query < queries; ++query) {
+            ForwardExecution execution = vm.execution(vm.m_fanOut);
+            const ForwardEffects effects = vm.start(execution);
+            const MonotonicTime begin = vm.m_now;
+            std::vector<std::pair<MonotonicTime, ForwardEffects::Send>> calls;
+            const auto add = [&](const ForwardEffects::Send& send) {
+                calls.emplace_back(vm.m_now + (isLocal(send) ? localLatency : remoteLatency), send);
+            };
+            for (const auto& send : effects.m_sends) {
+                share.m_first += isLocal(send) ? 1 : 0;
+                ++share.m_total;
+                add(send);
+            }
+            for (Milliseconds elapsed { 0 }; elapsed < Milliseconds(150); ++elapsed) {
+                vm.m_now = begin + elapsed;
+                for (const auto& hedge : handleForwardTimer(vm.m_state, execution, vm.m_now).m_sends)
+                    add(hedge);
+                for (const auto& [answeredAt, send] : calls) {
+                    if (answeredAt == vm.m_now)
+                        vm.reply(execution, send, ForwardFixture::success(send.m_call.m_endpoint.value()));
+                }
+            }
+        }
+        return share.value();
+    };
+
+    SECTION("when both replicas are equally fast, or the local one takes half as long again")
+    {
+        CHECK(play(50, Milliseconds(10), Milliseconds(10)) > 0.95);
+        CHECK(play(50, Milliseconds(15), Milliseconds(10)) > 0.95);
+    }
+    SECTION("but not when it is slower by more than a fifth of the goal")
+    {
+        play(20, Milliseconds(60), Milliseconds(10));
+        CHECK(play(50, Milliseconds(60), Milliseconds(10)) < 0.2);
+    }
+    SECTION("nor when it is gone")
+    {
+        for (int shard = 0; shard < 20; ++shard)
+            vm.m_published.m_endpoints.erase(EndpointId("e" + std::to_string(shard) + "a"));
+        vm.apply();
+        CHECK(play(20, Milliseconds(10), Milliseconds(10)) == 0.0);
+    }
+}
