Bound answers of endpoints and messages between VMs that never end or nest deeply

Cause and effect, each shown by a test that failed before: - An endpoint that sent a start of an answer without end (interim answers, chunk sizes, extensions, chunks of one byte, trailers) held the call until its deadline, and the read buffer grew all the while. An answer now ends with its connection at 16 KiB that cannot be parsed or 8 MiB in all; the call fails as lost and may go to another endpoint. - A second copy of an answer that names no request, unread in the socket when the next request was sent, was taken as its answer. Such a connection is now checked for unread bytes before it is used; the check costs one system call and is skipped for endpoints that name requests, whose copies are skipped by name. - A call to a merging VM of a megabyte of nested arrays ended the process with a segmentation fault, since nlohmann's parser recurses. Messages are checked for depth first, and integers that do not fit are refused.

--- a/src/libflamingo/endpoint/httpconnection.cpp
+++ b/src/libflamingo/endpoint/httpconnection.cpp
@@ -27,6 +27,10 @@
 constexpr std::size_t headerReadBytes = 4096;
 constexpr std::size_t bodyReadBytes = 65536;
 constexpr std::size_t maxIdleBufferBytes = 16384;
+// Largest part of an answer that the parser cannot consume yet: a head, or the line before a chunk with its extensions.
+constexpr std::size_t maxUnparsedBytes = 16384;
+// All bytes of one answer as received, interim answers and the framing of chunks included.
+constexpr std::uint64_t maxAnswerBytes = 2 * maxBodyBytes;
 
 class BeastConnection final : public HttpConnection {
 public:
@@ -55,6 +59,11 @@
     SendResult send(const RequestId& request, std::string header, std::string& body) override
     {
         error_code error;
+        if (!m_namesRequests && m_socket.available(error) > 0) {
+            m_state = State::Closed;
+            release();
+            return SendResult::NothingSent;
+        }
         // A request that fits into the socket's send buffer is sent at once, without a turn of the io_context.
         const std::array<asio::const_buffer, 2> buffers { asio::buffer(header), asio::buffer(body) };
         const std::size_t written = m_socket.write_some(buffers, error);
@@ -64,6 +73,7 @@
             return SendResult::NothingSent;
         }
         m_state = State::Busy;
+        m_answerBytes = 0;
         m_request = request;
         m_header = std::move(header);
         m_body = std::move(body);
@@ -123,6 +133,9 @@
 
     void expectAnswer() { m_parser.emplace(m_protocol, maxBodyBytes); }
 
+    /** Returns whether the answer being read exceeds a limit, as that of a peer that sends without end. */
+    bool isAnswerTooLarge() const { return m_buffer.size() > maxUnparsedBytes || m_answerBytes > maxAnswerBytes; }
+
     // One read is outstanding on every open connection. It receives the answer on a busy connection and detects that
     // the peer closed an idle one.
     void read()
@@ -156,6 +169,7 @@
             end("the endpoint sent data without a request");
             return;
         }
+        m_answerBytes += bytes;
         parse();
     }
 
@@ -182,6 +196,8 @@
         }
         if (m_parser->is_done())
             finish();
+        else if (isAnswerTooLarge())
+            end("the answer is too large");
         else
             read();
     }
@@ -212,6 +228,7 @@
     void finish()
     {
         EndpointReply reply = m_parser->takeReply();
+        m_namesRequests = !reply.m_request.value().empty();
         const bool reusable = m_inSync && m_parser->keep_alive() && m_writeDone && m_buffer.size() == 0;
         m_parser.reset();
         if (reusable) {
@@ -261,6 +278,10 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<ReplyParser> m_parser;
     RequestId m_request; // the request that waits for an answer
+    std::uint64_t m_answerBytes = 0; // received since the request was sent
+    // Whether the last answer named its request. A late answer that does not is recognized only while it is unread
+    // before the next request is sent.
+    bool m_namesRequests = false;
     bool m_inSync = true; // false once an answer to another request has arrived, since more may follow
     std::string m_header;
     std::string m_body;
--- a/src/libflamingo/endpoint/tests/endpointanswers.cpp
+++ b/src/libflamingo/endpoint/tests/endpointanswers.cpp
@@ -186,3 +186,129 @@
         }
     }
 }
+
+// Guards against an endpoint that holds a call until its deadline, or fills the memory, by sending bytes without end
+// that never make up an answer.
+SCENARIO("an endpoint sends without end")
+{
+    EndpointClientFixture fixture(protocolWithoutLengths());
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+    std::string start;
+    std::string rest;
+    SECTION("in the start line") { start = "HTTP/1.1 200 "; }
+    SECTION("in a header") { start = "HTTP/1.1 200 OK\r\nX-Padding: "; }
+    SECTION("in a train of interim answers") { rest = "HTTP/1.1 103 Early Hints\r\n\r\n"; }
+    SECTION("in a chunk size") { start = head + "\r\n"; }
+    SECTION("in the extensions of a chunk") { start = head + "\r\n3;x="; }
+    SECTION("in chunks of one byte with extensions")
+    {
+        start = head + "\r\n";
+        rest = "1;" + std::string(1000, 'x') + "\r\n0\r\n";
+    }
+    SECTION("in a trailer") { start = head + "\r\n0\r\nX-Padding: "; }
+    SECTION("in a chunked body")
+    {
+        start = head + "\r\n";
+        rest = "10\r\n0123456789abcdef\r\n";
+    }
+    SECTION("in a body without a length") { start = "HTTP/1.1 200 OK\r\n\r\n"; }
+    constexpr std::size_t blockBytes = 65536;
+    std::string block;
+    while (block.size() < blockBytes)
+        block += rest.empty() ? "0" : rest;
+
+    namespace asio = boost::asio;
+    asio::ip::tcp::acceptor acceptor(fixture.m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket peer(fixture.m_context);
+    std::uint64_t sent = 0;
+    bool closed = false;
+    std::function<void()> sendBlock = [&] {
+        asio::async_write(peer, asio::buffer(block), [&](auto error, std::size_t bytes) {
+            sent += bytes;
+            closed = bool(error);
+            if (!error)
+                sendBlock();
+        });
+    };
+    acceptor.async_accept(
+        peer, [&](auto) { asio::async_write(peer, asio::buffer(start), [&](auto, std::size_t) { sendBlock(); }); });
+    fixture.m_port = acceptor.local_endpoint().port();
+    fixture.setMaxConnections(1);
+    EndpointCall call = fixture.call("r1", 15000ms);
+    const auto begin = monotonicNow();
+    fixture.start(call);
+    fixture.awaitReplies(1);
+    fixture.runUntil([&] { return closed; });
+
+    CHECK(fixture.m_replies[0].m_outcome == CallOutcome::ConnectionLost);
+    CHECK(monotonicNow() - begin < 10s); // ended by a limit on bytes, not by the deadline
+    constexpr std::uint64_t socketBufferBytes = 16ULL << 20U; // what the system may hold between the two ends
+    CHECK(sent < (8ULL << 20U) + socketBufferBytes);
+}
+
+// Guards against a caller that gets the answer to somebody else's request.
+SCENARIO("a second copy of an answer arrives late on a kept connection")
+{
+    EndpointClientFixture fixture;
+    namespace asio = boost::asio;
+    asio::ip::tcp::acceptor acceptor(fixture.m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+    std::vector<asio::ip::tcp::socket> peers;
+    const auto accept = [&] {
+        fixture.runUntil([&] {
+            acceptor.non_blocking(true);
+            boost::system::error_code error;
+            asio::ip::tcp::socket peer(fixture.m_context);
+            acceptor.accept(peer, error);
+            if (!error)
+                peers.push_back(std::move(peer));
+            return !error;
+        });
+    };
+    const auto answerTo = [](const std::string& request, const std::string& body) {
+        const std::string name = request.empty() ? "" : "X-Flamingo-Request: " + request + "\r\n";
+        return "HTTP/1.1 200 OK\r\n" + name + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    const auto receive = [&](asio::ip::tcp::socket& peer) {
+        fixture.runUntil([&] { return peer.available() > 0; });
+        std::string text(peer.available(), '\0');
+        peer.read_some(asio::buffer(text));
+    };
+    fixture.m_port = acceptor.local_endpoint().port();
+    fixture.setMaxConnections(2);
+
+    WHEN("the endpoint names no request, and the copy is there before the next call is sent")
+    {
+        fixture.start(fixture.call("r1"));
+        accept();
+        receive(peers[0]);
+        asio::write(peers[0], asio::buffer(answerTo("", "[1]")));
+        fixture.awaitReplies(1);
+        asio::write(peers[0], asio::buffer(answerTo("", "[1]")));
+        fixture.start(fixture.call("r2"));
+        accept();
+        receive(peers[1]);
+        asio::write(peers[1], asio::buffer(answerTo("", "[2]")));
+        fixture.awaitReplies(2);
+        THEN("the next call uses another connection") { CHECK(fixture.m_replies[1].m_body == "[2]"); }
+    }
+    WHEN("the endpoint names the request, and the copy comes in pieces around the next call")
+    {
+        fixture.start(fixture.call("r1"));
+        accept();
+        receive(peers[0]);
+        const std::string copy = answerTo("r1", "[1]");
+        asio::write(peers[0], asio::buffer(copy));
+        fixture.awaitReplies(1);
+        fixture.start(fixture.call("r2"));
+        receive(peers[0]);
+        asio::write(peers[0], asio::buffer(copy.substr(0, 20)));
+        fixture.runFor(20ms);
+        asio::write(peers[0], asio::buffer(copy.substr(20) + answerTo("r2", "[2]")));
+        fixture.awaitReplies(2);
+        THEN("the next call skips it and gets its own answer")
+        {
+            CHECK(fixture.m_replies[1].m_request == RequestId("r2"));
+            CHECK(fixture.m_replies[1].m_body == "[2]");
+        }
+    }
+}
--- a/src/libflamingo/forward/mergewire.cpp
+++ b/src/libflamingo/forward/mergewire.cpp
@@ -1,11 +1,13 @@
 #include "forward/mergewire.h"
 
+#include "base/cborcheck.h"
 #include "control/cborwriter.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace flamingo {
 
@@ -46,6 +48,29 @@
     return Milliseconds(milliseconds);
 }
 
+// A message is an array whose values are at most lists of texts.
+constexpr std::size_t maxDepth = 3;
+// Holds the shards of a group and the headers of a caller's request.
+constexpr std::size_t maxItems = 100000;
+
+/** Parses a message; the result is discarded if it is malformed or nested too deeply for nlohmann's parser. */
+Json parseMessage(const std::string& body)
+{
+    if (!isBoundedCbor(body, maxDepth, maxItems))
+        return Json(Json::value_t::discarded);
+    return Json::from_cbor(body, true, false);
+}
+
+/** Reads an integer in the range of the type; throws nlohmann::json::exception for another value. */
+template <typename Integer> Integer readInteger(const Json& json)
+{
+    const auto value
+        = json.is_number_unsigned() ? json.get<std::uint64_t>() : std::numeric_limits<std::uint64_t>::max();
+    if (value > std::numeric_limits<Integer>::max() || !json.is_number_unsigned())
+        throw Json::other_error::create(0, "integer out of range: " + json.dump(), nullptr);
+    return static_cast<Integer>(value);
+}
+
 std::vector<std::string> readStrings(const Json& json) { return json.get<std::vector<std::string>>(); }
 
 // Precondition: the JSON is an array of callFieldCount values. Throws nlohmann::json::exception for a wrong type.
@@ -61,14 +86,14 @@
     request.m_body = json[5].get<std::string>();
     for (std::string& shard : readStrings(json[6]))
         route.m_shards.emplace_back(std::move(shard));
-    route.m_topRecords = json[7].get<std::uint32_t>();
-    route.m_maxAttempts = json[8].get<std::uint32_t>();
-    route.m_goal = Milliseconds(json[9].get<std::uint32_t>());
-    goalLeft = Milliseconds(json[10].get<std::uint32_t>());
+    route.m_topRecords = readInteger<std::uint32_t>(json[7]);
+    route.m_maxAttempts = readInteger<std::uint32_t>(json[8]);
+    route.m_goal = Milliseconds(readInteger<std::uint32_t>(json[9]));
+    goalLeft = Milliseconds(readInteger<std::uint32_t>(json[10]));
     route.m_key.m_host = json[11].get<std::string>();
     route.m_key.m_pathPrefix = json[12].get<std::string>();
     route.m_name = json[13].get<std::string>();
-    request.m_version = ConfigurationVersion(json[14].get<std::uint64_t>());
+    request.m_version = ConfigurationVersion(readInteger<std::uint64_t>(json[14]));
 }
 
 } // namespace
@@ -88,9 +113,9 @@
 
 std::optional<MergeResumeCall> decodeMergeResumeCall(const HttpRequest& http)
 {
-    const Json json = Json::from_cbor(http.m_body, true, false);
+    const Json json = parseMessage(http.m_body);
     if (!json.is_array() || json.size() != resumeFieldCount || !json[0].is_string() || !json[1].is_string()
-        || !json[2].is_number_unsigned())
+        || !json[2].is_number_unsigned() || json[2] > std::numeric_limits<std::uint32_t>::max())
         return std::nullopt;
     return MergeResumeCall { RequestId(json[0].get<std::string>()), ServiceName(json[1].get<std::string>()),
         Milliseconds(json[2].get<std::uint32_t>()) };
@@ -132,7 +157,7 @@
     reason = Reason { ResultCode::MalformedBody, "the body is not a valid call to a merging VM" };
     if (http.m_target != mergePath)
         return false;
-    const Json json = Json::from_cbor(http.m_body, true, false);
+    const Json json = parseMessage(http.m_body);
     if (!json.is_array() || json.size() != callFieldCount)
         return false;
     Route route;
@@ -177,7 +202,7 @@
 
 std::optional<MergeReply> decodeMergeReply(const std::string& body)
 {
-    const Json json = Json::from_cbor(body, true, false);
+    const Json json = parseMessage(body);
     if (!json.is_array() || json.size() != replyFieldCount || !json[0].is_array() || !json[1].is_binary()
         || !json[2].is_boolean())
         return std::nullopt;
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -4,6 +4,7 @@
 #include "forward/tests/forwardfixture.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/catch.h>
 
 #include <set>
@@ -324,3 +325,33 @@
         decodeMergeResumeCall(http);
     });
 }
+
+// Guards against a message that ends the process: nlohmann's parser recurses for each nested array, and the body of a
+// call may be large enough to exhaust the stack.
+TEST_CASE("a deeply nested message between VMs is refused", "[forward]")
+{
+    constexpr std::size_t messageBytes = 1 << 20;
+    constexpr char arrayOfOne = '\x81';
+    HttpRequest http;
+    http.m_target = "/merge";
+    http.m_body = std::string(messageBytes, arrayOfOne);
+    ForwardRequest request;
+    Reason reason;
+    CHECK_FALSE(decodeMergeCall(http, request, reason));
+    CHECK(reason.m_code == ResultCode::MalformedBody);
+    CHECK_FALSE(decodeMergeReply(http.m_body));
+    CHECK_FALSE(decodeMergeResumeCall(http));
+}
+
+// Guards against a time that wraps around: 2^32 + 5 ms would be read as 5 ms.
+TEST_CASE("an integer that does not fit is refused", "[forward]")
+{
+    const auto resumeWithTime = [](std::uint64_t time) {
+        HttpRequest http;
+        const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(nlohmann::json::array({ "r", "s0", time }));
+        http.m_body.assign(bytes.begin(), bytes.end());
+        return decodeMergeResumeCall(http);
+    };
+    CHECK(resumeWithTime(5));
+    CHECK_FALSE(resumeWithTime((1ULL << 32U) + 5));
+}
