Answer what has arrived before a planned stop, and keep one defect from ending a VM

Causes, each shown by a test that failed before: - Closing the port reset connections that the system had established and the server had not accepted yet, with their requests; and connections whose request was still in flight a moment after they had opened. They are accepted first and have 300 ms for their first request. - The process ended when no request was in handling, also while a body was arriving or an answer was not sent completely. It now waits, within the grace period, until its connections are closed. - An exception in a handler ended the process. It costs the request, which gets status 500, or the event; the counter flamingo_forward_handler_failures_total and a log line tell. - The line before a chunk could grow without end; it gets status 431.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -1,5 +1,6 @@
 #include "daemon/forwardloop.h"
 
+#include "base/eventloop.h"
 #include "base/log.h"
 #include "forward/mergeplan.h"
 #include "forward/mergewire.h"
@@ -93,7 +94,7 @@
             return false;
     }
     scheduleTick();
-    m_thread = std::thread([this] { m_io.run(); });
+    m_thread = std::thread([this] { runEventLoop(m_io); });
     return true;
 }
 
@@ -123,15 +124,17 @@
         m_callerServer.stopAccepting();
         m_mergeServer.stopAccepting();
     });
-    std::size_t inFlight = 1;
-    while (inFlight > 0 && monotonicNow() < end) {
+    // A connection that is still open has a request that is half received or in flight, or an answer that is not sent
+    // completely.
+    std::uint64_t open = 1;
+    while (open > 0 && monotonicNow() < end) {
         std::this_thread::sleep_for(drainPollInterval);
-        runOnLoop([this, &inFlight] {
-            inFlight = m_callerServer.counters().m_requestsInFlight + m_mergeServer.counters().m_requestsInFlight;
+        runOnLoop([this, &open] {
+            open = m_callerServer.counters().m_connectionsOpen + m_mergeServer.counters().m_connectionsOpen;
         });
     }
-    if (inFlight > 0)
-        FLAMINGO_LOG(Warning, "grace period ended with requests in flight", { "requests", std::to_string(inFlight) });
+    if (open > 0)
+        FLAMINGO_LOG(Warning, "grace period ended with open connections", { "connections", std::to_string(open) });
 }
 
 void ForwardLoop::stop()
@@ -314,6 +317,10 @@
         [this] { return double(m_runner.counters().m_hedges); });
     observe("flamingo_forward_abandoned_total", "Requests whose callers left before the answer.",
         [this] { return double(m_runner.counters().m_abandoned); });
+    observe("flamingo_forward_handler_failures_total", "Requests answered with status 500 after an unexpected error.",
+        [this] {
+            return double(m_callerServer.counters().m_failedRequests + m_mergeServer.counters().m_failedRequests);
+        });
     observe("flamingo_endpoint_connections_opened_total", "Connections opened to endpoints.",
         [this] { return double(m_endpointClient.counters().m_connectionsOpened); });
     observe("flamingo_endpoint_connections_lost_total", "Connections to endpoints that the endpoint closed or reset.",
--- a/src/libflamingo/http/httpserver.cpp
+++ b/src/libflamingo/http/httpserver.cpp
@@ -13,6 +13,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
+#include <exception>
 #include <optional>
 #include <set>
 #include <sys/socket.h>
@@ -33,6 +35,12 @@
 // Holds the connections that arrive within one probe interval of the load balancer, so that one slow iteration of the
 // event loop does not refuse any.
 constexpr int listenBacklog = 512;
+// Time that a caller has for its first request if it connected just before the port was closed. Covers a round trip and
+// a retransmission.
+constexpr Milliseconds firstRequestTime { 300 };
+// Largest part of a request that the parser cannot consume yet, besides the header: the line before a chunk, or the
+// trailers.
+constexpr std::size_t maxUnparsedBytes = 131072;
 
 std::string_view view(boost::beast::string_view text) { return { text.data(), text.size() }; }
 
@@ -40,7 +48,7 @@
 {
     if (error == http::error::body_limit)
         return 413;
-    if (error == http::error::header_limit)
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return 431;
     return 400;
 }
@@ -75,6 +83,8 @@
 
     bool start(const SocketAddress& address, Reason& reason);
     void accept();
+    void serve(tcp::socket socket);
+    void acceptPending();
     void stopAccepting();
     void stop();
 
@@ -105,7 +115,19 @@
         readRequest();
     }
 
-    bool isIdle() const { return m_state == State::Reading && !m_requestStarted; }
+    /**
+     * Closes the connection if it is idle. A request that has arrived and is not yet read is answered first, and a
+     * caller that has just connected has a moment to send one.
+     */
+    void closeIfIdle()
+    {
+        if (m_state != State::Reading || m_requestStarted || hasUnreadBytes())
+            return;
+        if (m_hadRequest)
+            close();
+        else
+            startTimer(firstRequestTime);
+    }
 
     void close()
     {
@@ -166,6 +188,7 @@
         const CallerLimits& limits = m_server->m_limits;
         m_parser->header_limit(static_cast<std::uint32_t>(limits.m_headerBytes));
         m_parser->body_limit(limits.m_bodyBytes);
+        m_buffer.max_size(std::max<std::size_t>(limits.m_headerBytes, maxUnparsedBytes));
         m_requestStarted = m_buffer.size() > 0;
         startTimer(m_requestStarted ? limits.m_headerTimeout : limits.m_idleTimeout);
         // Waits for the first bytes separately, since the idle timeout may be longer than the header timeout.
@@ -236,7 +259,20 @@
         ++m_server->m_counters.m_requestsInFlight;
         watchForDisconnect();
         const auto self = shared_from_this();
-        m_server->m_handler(self);
+        callHandler(self);
+    }
+
+    // An unexpected exception costs this request only.
+    void callHandler(const std::shared_ptr<Connection>& self)
+    {
+        try {
+            m_server->m_handler(self);
+        } catch (const std::exception& exception) {
+            ++m_server->m_counters.m_failedRequests;
+            FLAMINGO_LOG(
+                Error, "request handler failed", { "target", m_request.m_target }, { "reason", exception.what() });
+            respond({ 500, {}, "internal error\n" });
+        }
     }
 
     // Closes the connection when the caller closes its side. Bytes of the next request stay unread.
@@ -250,6 +286,12 @@
         });
     }
 
+    bool hasUnreadBytes()
+    {
+        error_code error;
+        return m_socket.available(error) > 0;
+    }
+
     bool callerHasDisconnected()
     {
         char byte = 0;
@@ -340,6 +382,9 @@
 void HttpServer::Impl::accept()
 {
     m_acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
+        // A connection that was accepted just before the port was closed is served as well.
+        if (!error && self->m_handler)
+            self->serve(std::move(socket));
         if (self->m_stopped)
             return;
         if (error) {
@@ -351,33 +396,52 @@
             });
             return;
         }
-        ++self->m_counters.m_connectionsAccepted;
-        ++self->m_counters.m_connectionsOpen;
-        const auto connection = std::make_shared<Connection>(self, std::move(socket));
-        self->m_connections.insert(connection);
-        connection->run();
         self->accept();
     });
 }
 
+void HttpServer::Impl::serve(tcp::socket socket)
+{
+    ++m_counters.m_connectionsAccepted;
+    ++m_counters.m_connectionsOpen;
+    const auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    m_connections.insert(connection);
+    connection->run();
+    if (m_stopped)
+        connection->closeIfIdle();
+}
+
+// Accepts the connections that the system has established for this port and that closing it would reset.
+void HttpServer::Impl::acceptPending()
+{
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_io);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            serve(std::move(socket));
+    }
+}
+
 void HttpServer::Impl::stopAccepting()
 {
     m_closeAfterAnswer = true;
+    if (!m_stopped && m_acceptor.is_open() && m_handler)
+        acceptPending();
     m_stopped = true;
     error_code ignored;
     m_acceptor.close(ignored);
     m_acceptRetryTimer.cancel();
     const auto connections = m_connections;
-    for (const auto& connection : connections) {
-        if (connection->isIdle())
-            connection->close();
-    }
+    for (const auto& connection : connections)
+        connection->closeIfIdle();
 }
 
 void HttpServer::Impl::stop()
 {
-    stopAccepting();
     m_handler = nullptr;
+    stopAccepting();
     const auto connections = m_connections;
     for (const auto& connection : connections)
         connection->close();
--- a/src/libflamingo/http/httpserver.h
+++ b/src/libflamingo/http/httpserver.h
@@ -40,6 +40,7 @@
     std::uint64_t m_requestsInFlight = 0; // current number
     std::uint64_t m_abandoned = 0; // requests whose callers disconnected before the answer
     std::uint64_t m_refusedRequests = 0; // malformed, too large or too slow
+    std::uint64_t m_failedRequests = 0; // answered with status 500 after an exception in the handler
 };
 
 /**
@@ -69,7 +70,11 @@
     /** Closes each connection after its next answer, which announces that. New connections are still served. */
     void announceClose();
 
-    /** Closes the port and all idle connections. The other connections are closed after their answers. */
+    /**
+     * Closes the port and all idle connections. The other connections are closed after their answers; these are the
+     * ones with a request that is in flight, half received, or received and not yet read. All connections are closed
+     * when m_connectionsOpen of the counters is 0.
+     */
     void stopAccepting();
 
     /** Returns the counters. The reference is valid for the lifetime of the server. */
--- a/src/libflamingo/http/tests/httpservertest.cpp
+++ b/src/libflamingo/http/tests/httpservertest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
 #include <thread>
 
 using namespace flamingo;
@@ -112,6 +113,111 @@
     }
 }
 
+// Guards against a planned stop that cuts off requests which have just arrived.
+TEST_CASE("the HTTP server answers what has arrived before its port was closed", "[http]")
+{
+    ServerFixture fixture;
+    const auto answerAll = [&](std::size_t count) {
+        REQUIRE(fixture.runUntil([&] { return fixture.m_exchanges.size() == count; }));
+        for (const auto& exchange : fixture.m_exchanges)
+            exchange->respond({ 200, {}, "whole" });
+    };
+
+    SECTION("a request on a kept connection that is not yet read")
+    {
+        Tcp::socket caller = fixture.connect();
+        fixture.send(caller, request);
+        answerAll(1);
+        CHECK(fixture.readAnswer(caller).find("HTTP/1.1 200 OK") == 0);
+        fixture.m_io.run_for(std::chrono::milliseconds(20));
+        fixture.send(caller, request);
+        fixture.m_server.stopAccepting();
+        answerAll(2);
+        CHECK(fixture.readAnswer(caller).find("Connection: close") != std::string::npos);
+    }
+    SECTION("a request on a connection that is not yet accepted")
+    {
+        Tcp::socket caller = fixture.connect();
+        fixture.send(caller, request);
+        fixture.m_server.stopAccepting();
+        answerAll(1);
+        CHECK(fixture.readAnswer(caller).find("HTTP/1.1 200 OK") == 0);
+    }
+    SECTION("a request that follows the opening of the connection by a moment")
+    {
+        Tcp::socket caller = fixture.connect();
+        fixture.m_server.stopAccepting();
+        fixture.m_io.run_for(std::chrono::milliseconds(20));
+        fixture.send(caller, request);
+        answerAll(1);
+        CHECK(fixture.readAnswer(caller).find("HTTP/1.1 200 OK") == 0);
+    }
+    SECTION("a request whose body is still arriving")
+    {
+        Tcp::socket caller = fixture.connect();
+        fixture.send(caller, "POST /a/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+        REQUIRE(fixture.runUntil([&] { return fixture.m_server.counters().m_connectionsOpen == 1; }));
+        fixture.m_io.run_for(std::chrono::milliseconds(20));
+        fixture.m_server.stopAccepting();
+        CHECK(fixture.m_server.counters().m_connectionsOpen == 1);
+        fixture.send(caller, "cd");
+        answerAll(1);
+        CHECK(fixture.m_exchanges[0]->request().m_body == "abcd");
+        CHECK(fixture.readAnswer(caller).find("HTTP/1.1 200 OK") == 0);
+    }
+    SECTION("an answer larger than the socket's buffer, which counts as open until it is sent")
+    {
+        constexpr std::size_t answerBytes = 32 << 20;
+        Tcp::socket caller = fixture.connect();
+        fixture.send(caller, request);
+        REQUIRE(fixture.runUntil([&] { return fixture.m_exchanges.size() == 1; }));
+        fixture.m_server.stopAccepting();
+        fixture.m_exchanges[0]->respond({ 200, {}, std::string(answerBytes, 'x') });
+        fixture.m_io.run_for(std::chrono::milliseconds(20));
+        CHECK(fixture.m_server.counters().m_connectionsOpen == 1);
+    }
+    SECTION("and closes a connection on which nothing arrives")
+    {
+        Tcp::socket unused = fixture.connect();
+        fixture.m_server.stopAccepting();
+        CHECK(fixture.runUntil([&] { return fixture.m_server.counters().m_connectionsOpen == 0; }));
+    }
+}
+
+// Guards against a process that ends because one request hits a defect.
+TEST_CASE("an exception in the handler of the HTTP server costs one request", "[http]")
+{
+    boost::asio::io_context io;
+    int requests = 0;
+    HttpServer server(io, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        if (++requests == 1)
+            throw std::length_error("text too long");
+        exchange->respond({ 200, {}, "fine" });
+    });
+    ServerFixture fixture; // provides free ports and the caller's side
+    Reason reason;
+    std::uint16_t port = 18100;
+    while (!server.start({ "127.0.0.1", port }, reason) && port < 18200)
+        ++port;
+    fixture.m_port = port;
+    const auto exchange = [&](Tcp::socket& caller) {
+        fixture.send(caller, request);
+        std::string text;
+        caller.non_blocking(true);
+        for (int attempt = 0; attempt < 500 && text.find("\r\n\r\n") == std::string::npos; ++attempt) {
+            io.run_for(std::chrono::milliseconds(10));
+            char bytes[4096];
+            boost::system::error_code error;
+            text.append(bytes, caller.read_some(boost::asio::buffer(bytes), error));
+        }
+        return text;
+    };
+    Tcp::socket caller = fixture.connect();
+    CHECK(exchange(caller).find("HTTP/1.1 500") == 0);
+    CHECK(exchange(caller).find("HTTP/1.1 200") == 0);
+    CHECK(server.counters().m_failedRequests == 1);
+}
+
 TEST_CASE("the HTTP server refuses malformed and too large requests", "[http]")
 {
     ServerFixture fixture;
@@ -131,5 +237,12 @@
         fixture.send(other, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n");
         CHECK(fixture.readAnswer(other).find("HTTP/1.1 413") == 0);
     }
+    SECTION("the line before a chunk without end gets 431")
+    {
+        Tcp::socket other = fixture.connect();
+        fixture.send(
+            other, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(200000, 'x'));
+        CHECK(fixture.readAnswer(other).find("HTTP/1.1 431") == 0);
+    }
     CHECK(fixture.m_exchanges.empty());
 }
