Keep no connections to shards that other VMs merge

Cause: when a second route has a shard as its only target, every VM called the shard's endpoints directly and kept the share of a merging VM: 30 VMs kept 30 connections where 10 are accepted (test). Endpoints reset the surplus, also those that merging VMs use.

Change: the connections to an endpoint follow from connectionPlan(), a function over plain state. A VM that does not merge the shard opens one connection when it has a call.

The rest is reset while queues are long, when endpoints accept fewer; that cause stays open.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -28,8 +28,6 @@
 // Connections to each merging VM. A connection carries one call at a time, and a stalled call must not delay other
 // calls to the same VM.
 constexpr std::uint32_t mergeConnections = 8;
-// Connections kept open in advance to each endpoint.
-constexpr std::uint32_t warmConnections = 1;
 // Holds a request of a caller that is within its limits, and the names of the shards.
 constexpr std::uint64_t maxMergeCallBytes = 1ULL << 20U;
 // Connections between VMs are few, so they are kept open while idle.
@@ -185,17 +183,14 @@
 
 void ForwardLoop::connectEndpoint(EndpointIndex index)
 {
-    RoutingTable& table = m_state.m_routing.m_table;
-    const EndpointRoute& route = table.m_endpoints.at(index.value());
+    const EndpointRoute& route = m_state.m_routing.m_table.m_endpoints.at(index.value());
+    const ConnectionPlan plan = connectionPlan(m_state, index);
     EndpointLimits limits;
-    limits.m_maxConnections = endpointShare(table, index);
+    limits.m_maxConnections = plan.m_max;
     limits.m_connectTimeout = connectTimeout;
     m_endpointClient.setLimits(route.m_id, limits);
     m_connected.insert(route.m_id);
-    const bool used = !route.m_draining && table.m_routedConnections.count(route.m_service) > 0
-        && callsDirectly(m_state, route.m_service);
-    m_endpointClient.preconnect(
-        route.m_id, route.m_address, route.m_port, used ? std::min(limits.m_maxConnections, warmConnections) : 0);
+    m_endpointClient.preconnect(route.m_id, route.m_address, route.m_port, plan.m_preconnected);
 }
 
 void ForwardLoop::handleMergeResume(const std::shared_ptr<HttpExchange>& exchange)
--- a/src/libflamingo/forward/mergeplan.cpp
+++ b/src/libflamingo/forward/mergeplan.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t minOwners = 3;
 // Concurrent calls per merging VM. High enough not to limit entry VMs, since requests queue at the endpoints.
 constexpr std::uint32_t mergerSlots = 64;
+// Connections kept open in advance to each endpoint.
+constexpr std::uint32_t warmConnections = 1;
 
 using VmList = std::vector<const VmRecord*>;
 
@@ -149,6 +151,21 @@
         || state.m_directServices.count(service) > 0;
 }
 
+ConnectionPlan connectionPlan(ForwardState& state, EndpointIndex endpoint)
+{
+    RoutingTable& table = state.m_routing.m_table;
+    const EndpointRoute& route = table.m_endpoints.at(endpoint.value());
+    const std::uint32_t share = endpointShare(table, endpoint);
+    const bool routed = table.m_routedConnections.count(route.m_service) > 0;
+    if (route.m_draining || !routed || !callsDirectly(state, route.m_service))
+        return { share, 0 };
+    const bool mergedByOthers
+        = table.m_sharingVmCounts.count(route.m_service) > 0 && state.m_ownShards.count(route.m_service) == 0;
+    if (mergedByOthers)
+        return { std::min(share, 1U), 0 };
+    return { share, std::min(share, warmConnections) };
+}
+
 void updateMergers(ForwardState& state, MonotonicTime now)
 {
     const PublishedState& published = *state.m_routing.m_state;
--- a/src/libflamingo/forward/mergeplan.h
+++ b/src/libflamingo/forward/mergeplan.h
@@ -2,6 +2,7 @@
 
 #include "forward/forwardstate.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,21 @@
 /** Returns the service name of a group's owners in ForwardState::m_mergers. Thread-safe. */
 ServiceName mergeGroupName(std::size_t group);
 
+/** How many connections this VM holds to one endpoint. */
+struct ConnectionPlan {
+    std::uint32_t m_max = 0;
+    std::uint32_t m_preconnected = 0; // opened in advance of the first call
+};
+
+/**
+ * Returns the plan for the endpoint.
+ *
+ * The VMs that merge a shard share the connections that its endpoints accept. Another VM, which calls the shard only
+ * for routes to this service alone, opens a single connection when it has a call: if all VMs kept connections, they
+ * would exceed the endpoint's limit, and it would reset those of the merging VMs.
+ */
+ConnectionPlan connectionPlan(ForwardState& state, EndpointIndex endpoint);
+
 /** Returns whether fan-outs of the route are merged in two levels. */
 bool usesMergers(const ForwardState& state, const Route& route);
 
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -246,6 +246,34 @@
     }
 }
 
+// Guards against connections that all VMs together keep to the endpoints of a shard beyond the limit of these, because
+// a second route has the shard as its only target. The endpoints then reset connections that merging VMs use.
+TEST_CASE("all VMs together keep no more connections than an endpoint accepts", "[forward]")
+{
+    MergeFixture vm;
+    vm.m_single.m_targets = { { vm.m_fanOut.m_shards.front(), 1.0 } };
+    vm.m_published.m_routes[vm.m_single.m_key] = vm.m_single;
+    vm.m_published.m_routeHeader.m_version = ConfigurationVersion(2);
+    constexpr std::uint32_t acceptedConnections = 10;
+    std::uint32_t kept = 0;
+    std::uint32_t reserved = 0;
+    for (const auto& [id, record] : vm.m_published.m_vms) {
+        vm.m_state = makeForwardState(id, record.m_dataCentre);
+        vm.m_state.m_settings.m_mergePort = 7000;
+        vm.apply();
+        REQUIRE(callsDirectly(vm.m_state, vm.m_fanOut.m_shards.front()));
+        const EndpointIndex endpoint = vm.m_state.m_routing.m_table.m_positions.at(EndpointId("e0a"));
+        const ConnectionPlan plan = connectionPlan(vm.m_state, endpoint);
+        const bool merges = vm.m_state.m_ownShards.count(vm.m_fanOut.m_shards.front()) > 0;
+        CHECK(plan.m_preconnected == (merges ? 1 : 0));
+        CHECK(plan.m_max == (merges ? 2 : 1));
+        kept += plan.m_preconnected;
+        reserved += merges ? plan.m_max : 0;
+    }
+    CHECK(kept <= acceptedConnections);
+    CHECK(reserved <= acceptedConnections);
+}
+
 // Guards against merge calls to other data centres, whose traffic is charged, although VMs nearby could merge as well.
 TEST_CASE("each data centre has owners of every group", "[forward]")
 {
