--- a/src/libflamingo/forward/mergewire.cpp
+++ b/src/libflamingo/forward/mergewire.cpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <exception>
 #include <limits>
+#include <stdexcept>
 
 namespace flamingo {
 
@@ -61,19 +63,17 @@
     return Json::from_cbor(body, true, false);
 }
 
-/** Reads an integer in the range of the type; throws nlohmann::json::exception for another value. */
+/** Reads an integer; throws std::out_of_range if it does not fit, where Json::get() would wrap it. */
 template <typename Integer> Integer readInteger(const Json& json)
 {
-    const auto value
-        = json.is_number_unsigned() ? json.get<std::uint64_t>() : std::numeric_limits<std::uint64_t>::max();
-    if (value > std::numeric_limits<Integer>::max() || !json.is_number_unsigned())
-        throw Json::other_error::create(0, "integer out of range: " + json.dump(), nullptr);
-    return static_cast<Integer>(value);
+    if (!json.is_number_unsigned() || json.get<std::uint64_t>() > std::numeric_limits<Integer>::max())
+        throw std::out_of_range("an integer is negative, too large or of another type");
+    return json.get<Integer>();
 }
 
 std::vector<std::string> readStrings(const Json& json) { return json.get<std::vector<std::string>>(); }
 
-// Precondition: the JSON is an array of callFieldCount values. Throws nlohmann::json::exception for a wrong type.
+// Precondition: the JSON is an array of callFieldCount values. Throws an exception for a value of a wrong type.
 void readCall(const Json& json, ForwardRequest& request, Route& route, Milliseconds& goalLeft)
 {
     request.m_id = RequestId(json[0].get<std::string>());
@@ -164,7 +164,7 @@
     Milliseconds goalLeft { 0 };
     try {
         readCall(json, request, route, goalLeft);
-    } catch (const Json::exception& exception) {
+    } catch (const std::exception& exception) {
         reason.m_text = exception.what();
         return false;
     }
