Report the rate limits that endpoints name in logs and metrics

Answers of endpoints may name the requests a second that they take from all VMs together. The adapter decodes the header into a typed field, and routing keeps the limit of each endpoint until an answer names none; the header of this project's own protocol is X-Flamingo-Rate-Limit. No call is placed otherwise.

--- a/src/libflamingo/daemon/daemonmetrics.cpp
+++ b/src/libflamingo/daemon/daemonmetrics.cpp
@@ -82,6 +82,12 @@
         double(counters.m_connectionsRetired));
     setGauge("flamingo_endpoint_calls_in_flight", "Calls to endpoints that are not finished.",
         double(counters.m_callsInFlight));
+    setGauge("flamingo_endpoint_rate_limits_named", "Times that an endpoint began to name a rate limit.",
+        double(routing.m_rateLimitReport.m_named));
+    setGauge("flamingo_endpoint_rate_limits_ended", "Times that an endpoint ceased to name a rate limit.",
+        double(routing.m_rateLimitReport.m_ended));
+    setGauge("flamingo_endpoint_rate_limited_calls", "Calls to endpoints that named a rate limit.",
+        double(routing.m_rateLimitReport.m_calls));
     for (const auto& [name, service] : routing.m_services) {
         const MetricLabels labels { { "service", name.value() } };
         const RoutingCounters& counts = service.m_counters;
--- a/src/libflamingo/daemon/entryloop.cpp
+++ b/src/libflamingo/daemon/entryloop.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entryloop.h"
 
+#include "daemon/ratelimitlog.h"
 #include "endpoint/endpointclient.h"
 #include "routing/connectionchanges.h"
 
@@ -157,6 +158,7 @@
 // A VM without a lease closes its idle connections, since the other VMs take over its share of each endpoint.
 void EntryLoop::tick()
 {
+    logRateLimitChanges(m_loop.m_routing.m_rateLimitReport);
     const bool valid = m_control.m_lease->valid(monotonicNow());
     if (valid == m_leaseWasValid)
         return;
--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -2,6 +2,7 @@
 
 #include "base/eventloop.h"
 #include "base/log.h"
+#include "daemon/ratelimitlog.h"
 #include "forward/mergeplan.h"
 #include "forward/mergewire.h"
 #include "routing/connectionchanges.h"
@@ -287,6 +288,7 @@
 
 void ForwardLoop::tick()
 {
+    logRateLimitChanges(m_state.m_routing.m_rateLimitReport);
     const MonotonicTime now = monotonicNow();
     if (m_lease->valid(now))
         m_confirmedAt = now;
@@ -312,6 +314,12 @@
         [this] { return double(m_runner.counters().m_hedges); });
     observe("flamingo_forward_abandoned_total", "Requests whose callers left before the answer.",
         [this] { return double(m_runner.counters().m_abandoned); });
+    observe("flamingo_endpoint_rate_limits_named_total", "Times that an endpoint began to name a rate limit.",
+        [this] { return double(m_state.m_routing.m_rateLimitReport.m_named); });
+    observe("flamingo_endpoint_rate_limits_ended_total", "Times that an endpoint ceased to name a rate limit.",
+        [this] { return double(m_state.m_routing.m_rateLimitReport.m_ended); });
+    observe("flamingo_endpoint_rate_limited_calls_total", "Calls to endpoints that named a rate limit.",
+        [this] { return double(m_state.m_routing.m_rateLimitReport.m_calls); });
     observe("flamingo_forward_handler_failures_total", "Requests answered with status 500 after an unexpected error.",
         [this] {
             return double(m_callerServer.counters().m_failedRequests + m_mergeServer.counters().m_failedRequests);
--- a/src/libflamingo/endpoint/endpointcall.h
+++ b/src/libflamingo/endpoint/endpointcall.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/rate.h"
 #include "base/time.h"
 #include "http/httpfield.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace flamingo {
@@ -59,6 +61,9 @@
     LayoutId m_layout;
     ShardIndex m_shard;
     double m_load = 0.0; // as reported by the endpoint, 0 to 1; may be out of date or wrong
+    // Rate that the endpoint accepts from all VMs together; unset if the answer names none.
+    std::optional<RequestsPerSecond> m_rateLimit;
+    bool m_rateLimitMalformed = false; // the answer names a limit that cannot be read
     bool m_wrongEndpoint = false; // another endpoint answered at the address; it did not run the request
     std::string m_receipt; // receipt header, passed on so that the caller can recognise the endpoint's answer
     HttpFields m_fields; // HTTP headers that a forwarded answer passes on
--- a/src/libflamingo/endpoint/requestheader.cpp
+++ b/src/libflamingo/endpoint/requestheader.cpp
@@ -1,6 +1,8 @@
 #include "endpoint/requestheader.h"
 #include "endpoint/endpointprotocol.h"
 
+#include "base/rate.h"
+
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
@@ -72,6 +74,9 @@
     } else if (equalsIgnoringCase(name, "X-Flamingo-Load")) {
         const auto load = parseNumberOrZero<double>(value);
         reply.m_load = std::isfinite(load) ? std::clamp(load, 0.0, 1.0) : 0.0;
+    } else if (equalsIgnoringCase(name, "X-Flamingo-Rate-Limit")) {
+        reply.m_rateLimit = parseRate(value);
+        reply.m_rateLimitMalformed = !reply.m_rateLimit;
     } else if (equalsIgnoringCase(name, "X-Flamingo-Not-Run")) {
         reply.m_notRun = value == "1";
     } else if (equalsIgnoringCase(name, "Retry-After-Ms")) {
--- a/src/libflamingo/routing/attempt.cpp
+++ b/src/libflamingo/routing/attempt.cpp
@@ -2,6 +2,17 @@
 
 namespace flamingo {
 
+namespace {
+
+// An answer from another endpoint at the same address, or one with an unreadable limit, leaves the known limit in
+// force.
+bool statesRateLimit(const EndpointReply& reply)
+{
+    return reply.m_outcome == CallOutcome::Answered && !reply.m_wrongEndpoint && !reply.m_rateLimitMalformed;
+}
+
+} // namespace
+
 Attempt beginAttempt(RoutingState& routing, EndpointIndex endpoint, bool suspect, MonotonicTime now)
 {
     const EndpointRoute& route = routing.m_table.m_endpoints[endpoint.value()];
@@ -17,6 +28,8 @@
     attempt.m_suspect = suspect;
     if (suspect)
         ++stats.m_suspectCalls;
+    if (stats.m_rateLimit.m_limit)
+        ++routing.m_rateLimitReport.m_calls;
     return attempt;
 }
 
@@ -43,8 +56,12 @@
         addLatency(learned.m_latency, end.m_elapsed, now);
     if (verdict == CallVerdict::Shed)
         ++learned.m_counters.m_shed;
-    if (EndpointStats* stats = statsOf(routing, attempt.m_endpoint, attempt.m_generation))
-        recordCallEnded(*stats, end, routing.m_settings, now);
+    EndpointStats* stats = statsOf(routing, attempt.m_endpoint, attempt.m_generation);
+    if (!stats)
+        return;
+    recordCallEnded(*stats, end, routing.m_settings, now);
+    if (reply && statesRateLimit(*reply))
+        setRateLimit(stats->m_rateLimit, reply->m_rateLimit, attempt.m_endpointId, service, routing.m_rateLimitReport);
 }
 
 bool isEndpointKnown(const RoutingState& routing, const Attempt& attempt)
--- a/src/libflamingo/routing/endpointstats.h
+++ b/src/libflamingo/routing/endpointstats.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/endpointratelimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,7 @@
     std::uint32_t m_consecutiveLostRaces = 0;
     std::uint32_t m_consecutiveAnswers = 0;
     MonotonicTime m_refusedUntil {}; // from the retry delay of a Shed answer
+    EndpointRateLimit m_rateLimit;
     double m_reportedLoad = 0.0; // 0 to 1, reported by the endpoint; used only to break ties
     MonotonicTime m_rampStart {}; // when a new or readmitted endpoint started to ramp up; the epoch for none
 
--- a/src/libflamingo/routing/routingstate.h
+++ b/src/libflamingo/routing/routingstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "routing/endpointratelimit.h"
 #include "routing/endpointstats.h"
 #include "routing/extraloadbudget.h"
 #include "routing/latencydistribution.h"
@@ -52,6 +53,7 @@
     std::vector<EndpointStats> m_endpoints; // by EndpointIndex
     std::uint64_t m_lastGeneration = 0; // newest EndpointStats::m_generation
     std::map<ServiceName, ServiceStats> m_services;
+    RateLimitReport m_rateLimitReport;
 };
 
 /** Returns a state without endpoints for the daemon that the settings name. */
