Set no timer in the past for a retry that waits for a free endpoint

A call that fails before its hedge is due leaves the due time behind. While the retry waits for a free endpoint, the next timer of the execution is that time, which is past: the event loop runs the timer again and again until an endpoint is free, and all requests of the VM pay for it. The due time is now cleared with the failed call. The new test fails before the change.

--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -228,6 +228,7 @@
             part.m_reply = std::move(reply);
         if (part.m_openCalls > 0)
             return; // another call of the part may still answer
+        part.m_hedgeAt = MonotonicTime::max();
         const bool refusalsExceeded = part.m_refusals + part.m_unsentCalls > m_state.m_settings.m_maxRefusals;
         if ((!notRun && !isIdempotent()) || refusalsExceeded) {
             closePart(part, ForwardPart::State::Lost);
--- a/src/libflamingo/forward/tests/forwardtest.cpp
+++ b/src/libflamingo/forward/tests/forwardtest.cpp
@@ -232,6 +232,28 @@
     }
 }
 
+// Guards against an event loop that spins until an endpoint is free.
+TEST_CASE("a retry that waits for a free endpoint sets no timer in the past", "[forward]")
+{
+    ForwardFixture vm(1);
+    std::vector<ForwardExecution> others;
+    ForwardExecution execution = vm.execution(vm.m_single);
+    const ForwardEffects first = vm.start(execution);
+    REQUIRE(first.m_sends.size() == 1);
+    for (int number = 0; number < 5; ++number) {
+        others.push_back(vm.execution(vm.m_single));
+        REQUIRE(vm.start(others.back()).m_sends.size() == 1);
+    }
+    EndpointReply error = ForwardFixture::success("r");
+    error.m_status = 500;
+    CHECK(vm.reply(execution, first.m_sends[0], std::move(error)).m_sends.empty());
+    REQUIRE(execution.m_parts[0].m_waiting);
+
+    const ForwardEffects later = vm.timer(execution, Milliseconds(60));
+    REQUIRE(later.m_nextTimerAt);
+    CHECK(*later.m_nextTimerAt > vm.m_now);
+}
+
 TEST_CASE("extra calls stay within the extra-load budget", "[forward]")
 {
     ForwardFixture vm(1);
