Let requests that wait for an endpoint look again when it is ejected

A request that finds all endpoints busy waits until a call ends. When that call ejects its endpoint, the waiting request was not woken, and it was held until its goal although no endpoint could take it. It now looks again after each call, and after it has waited in vain the next waiting request does. The new test fails before the change.

--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -97,8 +97,11 @@
             if (part.m_state != ForwardPart::State::Open || part.m_pendingMerger)
                 continue;
             if (part.m_openCalls == 0 && (m_now >= part.m_retryAt || part.m_waiting)) {
+                const bool waited = part.m_waiting;
                 part.m_retryAt = MonotonicTime::max();
                 trySend(index, part.m_possibleRuns == 0 ? CallKind::First : CallKind::Retry);
+                if (waited && part.m_state == ForwardPart::State::Lost)
+                    unblockNext(part);
             } else if (m_now >= part.m_hedgeAt) {
                 part.m_hedgeAt = MonotonicTime::max();
                 trySend(index, CallKind::Hedge);
@@ -377,11 +380,20 @@
 
     void unblockWaiting(RoutingState& routing, EndpointIndex endpoint)
     {
-        const auto waiting = longestWaiting(routing, endpoint);
-        if (waiting && canTakeCall(routing, endpoint, m_now))
+        // Also if the endpoint is now ejected: the request must not wait for it in vain.
+        if (const auto waiting = longestWaiting(routing, endpoint))
             m_effects.m_unblocked.push_back(*waiting);
     }
 
+    // Lets the next request look for an endpoint after this one has waited in vain.
+    void unblockNext(const ForwardPart& part)
+    {
+        const auto& waiting = serviceStats(routingOf(part), part.m_service).m_waiting;
+        const auto queue = waiting.find({});
+        if (queue != waiting.end())
+            m_effects.m_unblocked.push_back(queue->second.front());
+    }
+
     MonotonicTime nextTimerAt() const
     {
         MonotonicTime next = m_execution.m_deadline;
--- a/src/libflamingo/forward/tests/forwardtest.cpp
+++ b/src/libflamingo/forward/tests/forwardtest.cpp
@@ -232,6 +232,22 @@
     }
 }
 
+// Guards against requests that are held until their goal although their endpoint is out of service.
+TEST_CASE("a request that waits for an endpoint looks again when the endpoint is ejected", "[forward]")
+{
+    ForwardFixture vm(1);
+    std::vector<ForwardExecution> executions;
+    std::vector<ForwardEffects> started;
+    for (int number = 0; number < 7; ++number) {
+        executions.push_back(vm.execution(vm.m_single));
+        started.push_back(vm.start(executions.back()));
+    }
+    REQUIRE(executions.back().m_parts[0].m_waiting);
+    const ForwardEffects ended = vm.reply(executions[0], started[0].m_sends[0], ForwardFixture::lost());
+    REQUIRE(ended.m_unblocked.size() == 1);
+    CHECK(ended.m_unblocked[0] == executions.back().m_id);
+}
+
 // Guards against an event loop that spins until an endpoint is free.
 TEST_CASE("a retry that waits for a free endpoint sets no timer in the past", "[forward]")
 {
