Share the rate limit that an endpoint names among all VMs that call it

Endpoints in need name the requests a second that they take from all VMs together, and got as many as before: 161 to 185 calls in 4 s with 152 to 166 allowed, 32 to 43 with 28 to 36 allowed. Callers saw nothing.

Each VM now has a token bucket for each endpoint that names a limit, with an equal share of the rate. Each choice of an endpoint checks it and beginAttempt(), which all calls pass, takes the token: first calls, hedges, retries, probes, canaries and calls of merging VMs. A request without an endpoint left is refused at once as not run (code 1016).

--- a/src/libflamingo/base/resultcode.cpp
+++ b/src/libflamingo/base/resultcode.cpp
@@ -89,6 +89,8 @@
         return "UnknownRoute";
     case ResultCode::NoConfiguration:
         return "NoConfiguration";
+    case ResultCode::EndpointRateLimited:
+        return "EndpointRateLimited";
     }
     return "Unlisted";
 }
--- a/src/libflamingo/base/resultcode.h
+++ b/src/libflamingo/base/resultcode.h
@@ -28,6 +28,7 @@
     NotLeader = 1013,
     ClaimsFull = 1014,
     NoConfiguration = 1015,
+    EndpointRateLimited = 1016,
 
     DeadlineExceeded = 2001,
     CoverageBelowFloor = 2002,
--- a/src/libflamingo/daemon/daemonmetrics.cpp
+++ b/src/libflamingo/daemon/daemonmetrics.cpp
@@ -88,6 +88,9 @@
         double(routing.m_rateLimitReport.m_ended));
     setGauge("flamingo_endpoint_rate_limited_calls", "Calls to endpoints that named a rate limit.",
         double(routing.m_rateLimitReport.m_calls));
+    setGauge("flamingo_endpoint_rate_limit_passed_over",
+        "Times that an endpoint was not chosen, since this VM had sent its share of the rate limit.",
+        double(routing.m_rateLimitReport.m_passedOver));
     for (const auto& [name, service] : routing.m_services) {
         const MetricLabels labels { { "service", name.value() } };
         const RoutingCounters& counts = service.m_counters;
--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -320,6 +320,9 @@
         [this] { return double(m_state.m_routing.m_rateLimitReport.m_ended); });
     observe("flamingo_endpoint_rate_limited_calls_total", "Calls to endpoints that named a rate limit.",
         [this] { return double(m_state.m_routing.m_rateLimitReport.m_calls); });
+    observe("flamingo_endpoint_rate_limit_passed_over_total",
+        "Times that an endpoint was not chosen, since this VM had sent its share of the rate limit.",
+        [this] { return double(m_state.m_routing.m_rateLimitReport.m_passedOver); });
     observe("flamingo_forward_handler_failures_total", "Requests answered with status 500 after an unexpected error.",
         [this] {
             return double(m_callerServer.counters().m_failedRequests + m_mergeServer.counters().m_failedRequests);
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -307,12 +307,16 @@
         if (choice.m_busy) {
             waitForShard(routingOf(part), part.m_service, wholeService, m_execution.m_id);
             part.m_waiting = true;
+            // Without the timer, later requests would take the calls that rate limits permit meanwhile.
+            part.m_retryAt = choice.m_rateLimitedUntil.value_or(MonotonicTime::max());
             return;
         }
         if (choice.m_retryAt && *choice.m_retryAt < std::min(m_execution.m_goalAt, m_execution.m_deadline)) {
             part.m_retryAt = std::max(*choice.m_retryAt, m_now);
             return;
         }
+        // The next token comes too late, or another request takes it: a caller that comes back finds another VM.
+        part.m_rateLimited = choice.m_rateLimitedUntil.has_value();
         giveUp(part, kind);
     }
 
@@ -380,7 +384,7 @@
 
     void unblockWaiting(RoutingState& routing, EndpointIndex endpoint)
     {
-        // Also if the endpoint is now ejected: the request must not wait for it in vain.
+        // Also if the endpoint is now ejected or at its rate limit: the request must not wait for it in vain.
         if (const auto waiting = longestWaiting(routing, endpoint))
             m_effects.m_unblocked.push_back(*waiting);
     }
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -34,6 +34,7 @@
     std::vector<EndpointIndex> m_triedEndpoints; // endpoints that were called; the next attempt prefers others
     MonotonicTime m_hedgeAt = MonotonicTime::max(); // when the next hedge is due
     MonotonicTime m_retryAt = MonotonicTime::max(); // when to try again, while no call is open
+    bool m_rateLimited = false; // given up, since endpoints had been sent the rate that they named
     bool m_waiting = false; // queued in the routing state until an endpoint has capacity
     std::optional<EndpointReply> m_reply; // the successful reply, or the last error reply of an endpoint
     std::vector<std::string> m_receipts; // one for each answered shard
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -66,7 +66,13 @@
         return errorAnswer(execution, ResultCode::EndpointFailed, text);
     const bool refused = std::any_of(execution.m_parts.begin(), execution.m_parts.end(),
         [](const ForwardPart& part) { return part.m_refusals > 0; });
-    return errorAnswer(execution, refused ? ResultCode::EndpointRefused : ResultCode::NoEndpoint, text);
+    if (refused)
+        return errorAnswer(execution, ResultCode::EndpointRefused, text);
+    const bool rateLimited = std::any_of(
+        execution.m_parts.begin(), execution.m_parts.end(), [](const ForwardPart& part) { return part.m_rateLimited; });
+    if (rateLimited)
+        return errorAnswer(execution, ResultCode::EndpointRateLimited, "the endpoints take no higher rate of requests");
+    return errorAnswer(execution, ResultCode::NoEndpoint, text);
 }
 
 ForwardAnswer deadlineAnswer(const ForwardExecution& execution)
--- a/src/libflamingo/forward/mergeplan.cpp
+++ b/src/libflamingo/forward/mergeplan.cpp
@@ -125,6 +125,16 @@
     }
 }
 
+// Only the owners of its group call a shard, unless a route leads to it directly.
+void countCallingVms(ForwardState& state)
+{
+    RoutingTable& table = state.m_routing.m_table;
+    for (const auto& [service, owners] : table.m_sharingVmCounts) {
+        if (state.m_directServices.count(service) == 0)
+            table.m_callingVmCounts[service] = owners;
+    }
+}
+
 } // namespace
 
 std::vector<std::vector<ServiceName>> mergeGroups(const std::vector<ServiceName>& shards, std::size_t shardsPerGroup)
@@ -177,6 +187,7 @@
     const std::size_t groups = groupCount(state, published);
     RoutingTable& table = state.m_routing.m_table;
     table.m_sharingVmCounts.clear();
+    table.m_callingVmCounts.clear();
     ++table.m_vmGeneration;
     state.m_ownShards.clear();
     state.m_directServices.clear();
@@ -199,6 +210,7 @@
     }
     recordShardOwners(state, published, owners, own);
     collectDirectServices(state, published);
+    countCallingVms(state);
     applyPublishedState(state.m_mergers, std::move(mergers), now);
 }
 
--- a/src/libflamingo/forward/placement.cpp
+++ b/src/libflamingo/forward/placement.cpp
@@ -94,6 +94,8 @@
             continue;
         if (now < stats.m_refusedUntil) {
             updateRetryAt(choice, stats.m_refusedUntil);
+        } else if (!isWithinRateLimit(routing, index, now)) {
+            passOverRateLimited(routing, index, choice, now);
         } else if (stats.m_ejected && (now < stats.m_ejectedUntil || stats.m_probing)) {
             if (!lastResort || stats.m_ejectedUntil < routing.m_endpoints[lastResort->value()].m_ejectedUntil)
                 lastResort = index;
--- a/src/libflamingo/query/querysend.cpp
+++ b/src/libflamingo/query/querysend.cpp
@@ -195,6 +195,9 @@
         }
         return;
     }
+    const bool comesTooLate = choice.m_retryAt && *choice.m_retryAt >= callDeadline(step);
+    if (choice.m_rateLimitedUntil && comesTooLate && !choice.m_busy)
+        return giveUpShard(step, index);
     if (choice.m_busy)
         waitForReplica(step, index);
     if (choice.m_busy || choice.m_retryAt) {
--- a/src/libflamingo/request/requestsend.cpp
+++ b/src/libflamingo/request/requestsend.cpp
@@ -211,6 +211,10 @@
         execution.m_waitingSince = step.m_now;
         waitForShard(step.m_context.m_routing, execution.m_request.m_service, holdingOf(execution), execution.m_id);
     }
+    const bool comesTooLate = choice.m_retryAt && *choice.m_retryAt >= callDeadline(step);
+    if (choice.m_rateLimitedUntil && comesTooLate && !choice.m_busy && execution.m_openCalls == 0 && !step.mayHaveRun())
+        return refuseRequest(
+            step, ResultCode::EndpointRateLimited, "the endpoints take no higher rate of requests before the deadline");
     const MonotonicTime poll = step.m_now + settings.m_waitPollInterval;
     if (choice.m_busy || choice.m_retryAt)
         return scheduleActionAt(step, std::min(choice.m_retryAt.value_or(poll), poll));
--- a/src/libflamingo/routing/attempt.cpp
+++ b/src/libflamingo/routing/attempt.cpp
@@ -1,5 +1,9 @@
 #include "routing/attempt.h"
 
+#include "routing/connectionshare.h"
+
+#include <limits>
+
 namespace flamingo {
 
 namespace {
@@ -11,6 +15,19 @@
     return reply.m_outcome == CallOutcome::Answered && !reply.m_wrongEndpoint && !reply.m_rateLimitMalformed;
 }
 
+// Precondition: the endpoint is known.
+void learnRateLimit(RoutingState& routing, const Attempt& attempt, const ServiceName& service,
+    std::optional<RequestsPerSecond> limit, MonotonicTime now)
+{
+    EndpointRateLimit& rateLimit = routing.m_endpoints[attempt.m_endpoint.value()].m_rateLimit;
+    const std::uint64_t score
+        = rendezvousScore(routing.m_table.m_endpoints[attempt.m_endpoint.value()].m_idHash, routing.m_table.m_vmHash);
+    const double phase = double(score) / double(std::numeric_limits<std::uint64_t>::max());
+    const std::optional<RequestsPerSecond> before = rateLimit.m_limit;
+    setRateLimit(rateLimit, limit, phase, now);
+    reportRateLimit(routing.m_rateLimitReport, { attempt.m_endpointId, service, before, limit });
+}
+
 } // namespace
 
 Attempt beginAttempt(RoutingState& routing, EndpointIndex endpoint, bool suspect, MonotonicTime now)
@@ -28,8 +45,10 @@
     attempt.m_suspect = suspect;
     if (suspect)
         ++stats.m_suspectCalls;
-    if (stats.m_rateLimit.m_limit)
+    if (stats.m_rateLimit.m_limit) {
         ++routing.m_rateLimitReport.m_calls;
+        countCall(stats.m_rateLimit, callingVms(routing.m_table, endpoint), now);
+    }
     return attempt;
 }
 
@@ -61,7 +80,7 @@
         return;
     recordCallEnded(*stats, end, routing.m_settings, now);
     if (reply && statesRateLimit(*reply))
-        setRateLimit(stats->m_rateLimit, reply->m_rateLimit, attempt.m_endpointId, service, routing.m_rateLimitReport);
+        learnRateLimit(routing, attempt, service, reply->m_rateLimit, now);
 }
 
 bool isEndpointKnown(const RoutingState& routing, const Attempt& attempt)
--- a/src/libflamingo/routing/endpointchoice.cpp
+++ b/src/libflamingo/routing/endpointchoice.cpp
@@ -174,6 +174,11 @@
             updateRetryAt(choice, stats.m_refusedUntil);
             continue;
         }
+        if (!isWithinRateLimit(routing, index, now)) {
+            passOverRateLimited(routing, index, choice, now);
+            updateRetryAt(choice, *choice.m_rateLimitedUntil);
+            continue;
+        }
         if (stats.m_ejected) {
             groupEjected(routing, request, index, groups, choice, now);
             continue;
@@ -193,13 +198,27 @@
 
 } // namespace
 
+bool isWithinRateLimit(const RoutingState& routing, EndpointIndex endpoint, MonotonicTime now)
+{
+    const EndpointRateLimit& rateLimit = statsAt(routing, endpoint).m_rateLimit;
+    return !rateLimit.m_limit || permitsCall(rateLimit, callingVms(routing.m_table, endpoint), now);
+}
+
+void passOverRateLimited(RoutingState& routing, EndpointIndex endpoint, EndpointChoice& choice, MonotonicTime now)
+{
+    ++routing.m_rateLimitReport.m_passedOver;
+    const MonotonicTime at
+        = nextCallAt(statsAt(routing, endpoint).m_rateLimit, callingVms(routing.m_table, endpoint), now);
+    choice.m_rateLimitedUntil = std::min(at, choice.m_rateLimitedUntil.value_or(at));
+}
+
 bool canTakeCall(RoutingState& routing, EndpointIndex endpoint, MonotonicTime now)
 {
     const EndpointRoute& route = routeOf(routing, endpoint);
     const EndpointStats& stats = statsAt(routing, endpoint);
     const bool ejected = stats.m_ejected && (now < stats.m_ejectedUntil || stats.m_probing);
     return route.m_present && !route.m_draining && !ejected && now >= stats.m_refusedUntil
-        && !isAtCallLimit(routing, endpoint);
+        && isWithinRateLimit(routing, endpoint, now) && !isAtCallLimit(routing, endpoint);
 }
 
 bool canTryConnection(RoutingState& routing, EndpointIndex endpoint, MonotonicTime now)
@@ -207,7 +226,7 @@
     const EndpointRoute& route = routeOf(routing, endpoint);
     const EndpointStats& stats = statsAt(routing, endpoint);
     return route.m_present && !route.m_draining && now >= stats.m_refusedUntil
-        && stats.m_inFlight < endpointShare(routing.m_table, endpoint);
+        && isWithinRateLimit(routing, endpoint, now) && stats.m_inFlight < endpointShare(routing.m_table, endpoint);
 }
 
 EndpointChoice chooseEndpoint(
--- a/src/libflamingo/routing/endpointchoice.h
+++ b/src/libflamingo/routing/endpointchoice.h
@@ -17,6 +17,8 @@
     std::optional<EndpointIndex> m_endpoint;
     // The following are for a choice without an endpoint.
     bool m_busy = false; // a replica is at its limit of calls in flight
+    // When this VM may call a replica whose rate limit excludes a call now; unset if there is none.
+    std::optional<MonotonicTime> m_rateLimitedUntil;
     std::optional<MonotonicTime> m_retryAt; // earliest time to retry a replica that refused or is ejected
 };
 
@@ -36,14 +38,20 @@
     ProbeUse m_probes = ProbeUse::Allowed;
 };
 
-/** Returns whether the endpoint can take a call now: not draining, ejected, refusing or at its call limit. */
+/** Returns whether this VM has a part left of the rate that the endpoint named; true if it named none. */
+bool isWithinRateLimit(const RoutingState& routing, EndpointIndex endpoint, MonotonicTime now);
+
+/** Records in the choice that the endpoint's rate limit excludes a call now. Precondition: it does. */
+void passOverRateLimited(RoutingState& routing, EndpointIndex endpoint, EndpointChoice& choice, MonotonicTime now);
+
+/** Returns whether the endpoint can take a call now: not draining, ejected, refusing or at its call or rate limit. */
 bool canTakeCall(RoutingState& routing, EndpointIndex endpoint, MonotonicTime now);
 
 /**
  * Returns whether a call may be sent on a further connection while a call on another one is unanswered.
  *
  * That call may hang on an unresponsive connection, so the limit by slots is not applied, only the share
- * of connections.
+ * of connections and the rate that the endpoint named.
  */
 bool canTryConnection(RoutingState& routing, EndpointIndex endpoint, MonotonicTime now);
 
--- a/src/libflamingo/routing/routingtable.h
+++ b/src/libflamingo/routing/routingtable.h
@@ -71,6 +71,8 @@
     std::unordered_map<ServiceName, std::uint32_t> m_routedConnections; // limit of each endpoint
     // Number of VMs that share the connections of a service's endpoints, for services that not all VMs share.
     std::unordered_map<ServiceName, std::uint32_t> m_sharingVmCounts;
+    // Number of VMs that call a service's endpoints, for services that not all VMs call.
+    std::unordered_map<ServiceName, std::uint32_t> m_callingVmCounts;
     std::uint64_t m_lastLayoutGeneration = 0; // newest SnapshotRoutes::m_generation
     std::uint64_t m_vmHash = 0; // hash of this daemon's name
     std::vector<std::uint64_t> m_vmHashes; // hashes of the names of admitted VMs, including VMs that left recently
@@ -106,6 +108,9 @@
 /** Returns how many VMs connect to the endpoints of the service; at least 1. */
 std::uint32_t sharingVms(const RoutingTable& table, const ServiceName& service);
 
+/** Returns how many VMs may call the endpoint; at least 1. Precondition: the endpoint is in the table. */
+std::uint32_t callingVms(const RoutingTable& table, EndpointIndex endpoint);
+
 /** Returns the routes of the service, or null. The pointer is valid until the next change of the table. */
 const ServiceRoutes* findService(const RoutingTable& table, const ServiceName& service);
 
