Serve requests through other VMs while a VM cannot reach any endpoint

Cause: a VM judged each endpoint alone and had no other way; merging VMs that were cut off held the calls of healthy VMs until the goal.

A VM that gets no answer from any endpoint tests its links with a few connections. If these fail as well, it lets another VM serve each request, by the route that it has itself, and refuses calls for its groups at once. A request that may run only once is relayed only while none of its calls may have run. VMs that are cut off themselves refuse or return relayed requests, and owners of groups that refuse are passed over. A VM bounds what it serves for others.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -5,6 +5,7 @@
 #include "daemon/ratelimitlog.h"
 #include "forward/mergeplan.h"
 #include "forward/mergewire.h"
+#include "forward/relaywire.h"
 #include "routing/connectionchanges.h"
 
 #include <boost/asio/post.hpp>
@@ -37,6 +38,12 @@
 // others.
 constexpr double plannedExtraLoadFraction = 0.75;
 
+// Test connections at a time, to different endpoints. One of them succeeds unless the VM is cut off.
+constexpr std::size_t maxTestConnections = 3;
+// Requests served for other VMs at a time: a number that costs little, and beyond it a multiple of the own requests.
+constexpr std::size_t minRelaysInFlight = 32;
+constexpr std::size_t maxRelaysPerOwnRequest = 2;
+
 EndpointClientSettings mergeClientSettings()
 {
     EndpointClientSettings settings;
@@ -71,7 +78,7 @@
     , m_runner(m_io, m_endpointClient, m_mergeClient, m_state, metrics)
     , m_callerServer(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); })
     , m_probeServer(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleProbe(*exchange); })
-    , m_mergeServer(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleMerge(exchange); })
+    , m_mergeServer(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleVmCall(exchange); })
 {
     observeMetrics(metrics);
 }
@@ -210,12 +217,56 @@
     respond(answer);
 }
 
-void ForwardLoop::handleMerge(const std::shared_ptr<HttpExchange>& exchange)
+void ForwardLoop::handleVmCall(const std::shared_ptr<HttpExchange>& exchange)
 {
+    if (isRelayCall(exchange->request()))
+        return handleRelay(exchange);
     if (isMergeResumeCall(exchange->request()))
         return handleMergeResume(exchange);
+    handleMerge(exchange);
+}
+
+void ForwardLoop::handleRelay(const std::shared_ptr<HttpExchange>& exchange)
+{
+    ForwardRequest request;
+    Reason reason;
+    const std::size_t own = m_runner.inFlight() - std::min(m_runner.inFlight(), m_relaysInFlight);
+    if (m_state.m_reachability.m_cutOff)
+        reason = { ResultCode::NoEndpoint, "this VM cannot reach the endpoints either" };
+    else if (m_relaysInFlight >= std::max(minRelaysInFlight, own * maxRelaysPerOwnRequest))
+        reason = { ResultCode::Overloaded, "this VM serves as many requests of others as it can" };
+    const bool accepted = reason.m_text.empty() && decodeRelayCall(exchange->request(), request, reason);
+    if (!accepted) {
+        ++m_relaysRefused;
+        FLAMINGO_LOG(Info, "relayed request refused", { "request_id", request.m_id.value() },
+            { "relays_in_flight", std::to_string(m_relaysInFlight) }, { "reason", reason.m_text });
+        ForwardAnswer answer;
+        answer.m_code = reason.m_code;
+        answer.m_retryAfter = m_state.m_settings.m_cutOffRetryAfter;
+        exchange->respond(encodeRelayAnswer(answer));
+        return;
+    }
+    ++m_relaysServed;
+    ++m_relaysInFlight;
+    // Destroyed with the handler, when the request is answered or abandoned.
+    const std::shared_ptr<void> inFlight(nullptr, [this](void*) { --m_relaysInFlight; });
+    const ExecutionId id = m_runner.start(std::move(request),
+        [exchange, inFlight](const ForwardAnswer& answer) { exchange->respond(encodeRelayAnswer(answer)); });
+    exchange->onAbandoned([this, id] { m_runner.abandon(id); });
+}
+
+void ForwardLoop::handleMerge(const std::shared_ptr<HttpExchange>& exchange)
+{
     ForwardRequest request;
     Reason reason;
+    if (m_state.m_reachability.m_cutOff) {
+        // The calling VM asks another owner of the group instead of waiting for this one until the goal.
+        ForwardAnswer answer;
+        answer.m_code = ResultCode::NoEndpoint;
+        answer.m_retryAfter = m_state.m_settings.m_cutOffRetryAfter;
+        exchange->respond(encodeMergeAnswer(answer));
+        return;
+    }
     if (!decodeMergeCall(exchange->request(), request, reason)) {
         FLAMINGO_LOG(Warning, "merge call refused", { "reason", reason.m_text });
         ForwardAnswer answer;
@@ -275,6 +326,44 @@
     exchange.respond(m_protocol.m_writeHealth(exchange.request(), !m_stopping && !refusal()));
 }
 
+void ForwardLoop::checkReachability(MonotonicTime now)
+{
+    EndpointReachability& reachability = m_state.m_reachability;
+    const std::size_t unanswered = reachability.m_unanswered.size();
+    switch (updateReachability(reachability, m_endpointClient.counters().m_connectionsOpened, now)) {
+    case ReachabilityAction::None:
+        return;
+    case ReachabilityAction::TestConnections:
+        return testConnections();
+    case ReachabilityAction::CutOff:
+        FLAMINGO_LOG(Warning, "links to endpoints lost", { "unanswered_endpoints", std::to_string(unanswered) },
+            { "requests_in_flight", std::to_string(m_runner.inFlight()) },
+            { "relay_vms", std::to_string(m_state.m_relays.m_table.m_positions.size()) });
+        testConnections();
+        return m_runner.reconsiderAll();
+    case ReachabilityAction::Regained:
+        FLAMINGO_LOG(Info, "links to endpoints regained",
+            { "lost_for_ms",
+                std::to_string(std::chrono::duration_cast<Milliseconds>(now - reachability.m_cutOffSince).count()) });
+        // The time before the cut was noticed also counts.
+        forgetFailuresSince(m_state.m_routing, reachability.m_cutOffSince - connectTimeout * 2);
+        updateConnections(nullptr);
+    }
+}
+
+void ForwardLoop::testConnections()
+{
+    const auto& endpoints = m_state.m_routing.m_table.m_endpoints;
+    const std::size_t start = endpoints.empty() ? 0 : m_state.m_random() % endpoints.size();
+    std::size_t opened = 0;
+    for (std::size_t step = 0; step < endpoints.size() && opened < maxTestConnections; ++step) {
+        const EndpointRoute& route = endpoints[(start + step) % endpoints.size()];
+        if (route.m_present && !route.m_draining && callsDirectly(m_state, route.m_service)
+            && m_connected.count(route.m_id) > 0)
+            opened += m_endpointClient.tryConnect(route.m_id, route.m_address, route.m_port) ? 1U : 0U;
+    }
+}
+
 void ForwardLoop::scheduleTick()
 {
     m_ticker.expires_after(tickInterval);
@@ -292,6 +381,7 @@
     const MonotonicTime now = monotonicNow();
     if (m_lease->valid(now))
         m_confirmedAt = now;
+    checkReachability(now);
     const bool fresh
         = m_state.m_header.m_version.value() != 0 && now - m_confirmedAt < m_settings.m_routes.m_staleLimit;
     if (fresh == m_stateFresh)
@@ -323,6 +413,16 @@
     observe("flamingo_endpoint_rate_limit_passed_over_total",
         "Times that an endpoint was not chosen, since this VM had sent its share of the rate limit.",
         [this] { return double(m_state.m_routing.m_rateLimitReport.m_passedOver); });
+    metrics.observedGauge("flamingo_endpoints_cut_off", "1 while this VM cannot reach any endpoint.",
+        [this] { return m_state.m_reachability.m_cutOff ? 1.0 : 0.0; });
+    observe("flamingo_endpoints_cut_off_total", "Times that this VM lost its links to all endpoints.",
+        [this] { return double(m_state.m_reachability.m_cutOffCount); });
+    observe("flamingo_forward_relay_calls_total", "Calls to other VMs to serve requests while this VM is cut off.",
+        [this] { return double(m_runner.counters().m_relayed); });
+    observe("flamingo_forward_relays_served_total", "Requests served for VMs that are cut off from the endpoints.",
+        [this] { return double(m_relaysServed); });
+    observe("flamingo_forward_relays_refused_total", "Requests of cut-off VMs that this VM refused.",
+        [this] { return double(m_relaysRefused); });
     observe("flamingo_forward_handler_failures_total", "Requests answered with status 500 after an unexpected error.",
         [this] {
             return double(m_callerServer.counters().m_failedRequests + m_mergeServer.counters().m_failedRequests);
--- a/src/libflamingo/daemon/forwardloop.h
+++ b/src/libflamingo/daemon/forwardloop.h
@@ -59,11 +59,15 @@
     void updateConnections(const std::vector<Change>* changes);
     void connectEndpoint(EndpointIndex index);
     void handleMerge(const std::shared_ptr<HttpExchange>& exchange);
+    void handleVmCall(const std::shared_ptr<HttpExchange>& exchange);
+    void handleRelay(const std::shared_ptr<HttpExchange>& exchange);
     void handleMergeResume(const std::shared_ptr<HttpExchange>& exchange);
     void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
     void refuse(HttpExchange& exchange, const RequestId& id, ResultCode code, const char* text);
     std::optional<Reason> refusal() const;
     void handleProbe(HttpExchange& exchange);
+    void checkReachability(MonotonicTime now);
+    void testConnections();
     void scheduleTick();
     void tick();
     void observeMetrics(MetricsRegistry& metrics);
@@ -75,6 +79,9 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     MonotonicTimer m_ticker;
     ForwardState m_state;
+    std::size_t m_relaysInFlight = 0; // requests that this VM serves for others
+    std::uint64_t m_relaysServed = 0;
+    std::uint64_t m_relaysRefused = 0;
     EndpointClient m_endpointClient;
     EndpointClient m_mergeClient; // to other VMs that merge shards
     ForwardRunner m_runner;
--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <vector>
+
 namespace flamingo {
 
 namespace {
@@ -162,9 +164,16 @@
             { "endpoint", effect.m_call.m_endpoint.value() },
             { "age_ms", millisecondsText(monotonicNow() - running->m_execution.m_request.m_receivedAt) });
     }
+    const ForwardExecution& execution = running->m_execution;
+    if (execution.m_parts.at(execution.m_calls.at(attempt.value()).m_part).m_relay) {
+        ++m_counters.m_relayed;
+        FLAMINGO_LOG(Info, "request relayed", { "request_id", effect.m_call.m_request.value() },
+            { "attempt", std::to_string(attempt.value()) }, { "vm", effect.m_call.m_endpoint.value() },
+            { "age_ms", millisecondsText(monotonicNow() - execution.m_request.m_receivedAt) });
+    }
     const auto handler
         = [this, running, attempt](EndpointReply reply) { handleReply(running, attempt, std::move(reply)); };
-    EndpointClient& client = effect.m_toMerger ? m_mergeClient : m_endpointClient;
+    EndpointClient& client = effect.m_toVm ? m_mergeClient : m_endpointClient;
     running->m_calls[attempt] = { &client, client.start(std::move(effect.m_call), handler) };
 }
 
@@ -212,6 +221,15 @@
     carryOut(running, handleForwardTimer(m_state, running->m_execution, monotonicNow()));
 }
 
+void ForwardRunner::reconsiderAll()
+{
+    std::vector<ExecutionId> executions;
+    for (const auto& [id, running] : m_running)
+        executions.push_back(id);
+    for (const ExecutionId execution : executions)
+        wake(execution);
+}
+
 void ForwardRunner::finish(const RunningPtr& running, ForwardAnswer answer)
 {
     running->m_timer.cancel();
@@ -227,9 +245,9 @@
         { "code", std::to_string(static_cast<int>(answer.m_code)) }, { "status", std::to_string(answer.m_status) },
         { "shards", std::to_string(answer.m_shardCount) }, { "missing", std::to_string(answer.m_missingShards) },
         { "unanswered", unansweredText(running->m_execution) }, { "calls", std::to_string(answer.m_calls) },
-        { "hedges", std::to_string(running->m_hedges) }, { "elapsed_ms", millisecondsText(elapsed) },
-        { "reason", answer.m_text });
-    if (!request.m_partialAnswerAfter)
+        { "hedges", std::to_string(running->m_hedges) }, { "for_other_vm", request.m_relayed ? "yes" : "no" },
+        { "elapsed_ms", millisecondsText(elapsed) }, { "reason", answer.m_text });
+    if (!request.m_partialAnswerAfter && !request.m_relayed)
         recordMetrics(running->m_execution, answer, std::chrono::duration_cast<Microseconds>(elapsed));
     const AnswerHandler handler = std::move(running->m_handler);
     running->m_handler = nullptr;
--- a/src/libflamingo/daemon/forwardrunner.h
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -24,6 +24,7 @@
     std::uint64_t m_requests = 0;
     std::uint64_t m_calls = 0;
     std::uint64_t m_hedges = 0;
+    std::uint64_t m_relayed = 0; // calls to other VMs to serve a request
     std::uint64_t m_abandoned = 0; // requests whose callers disconnected
 };
 
@@ -63,6 +64,9 @@
     /** Ends a request whose caller has disconnected; has no effect once the request is answered. */
     void abandon(ExecutionId execution);
 
+    /** Lets all requests without an answer look for another way, after this VM has lost its links to the endpoints. */
+    void reconsiderAll();
+
     /** Returns the number of requests that are not yet answered. */
     std::size_t inFlight() const { return m_running.size(); }
 
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -2,6 +2,7 @@
 
 #include "endpoint/connectionpool.h"
 #include "endpoint/httpconnectionowner.h"
+#include "endpoint/runningcall.h"
 
 #include "base/monotonictimer.h"
 #include <boost/asio/post.hpp>
@@ -17,31 +18,16 @@
 namespace flamingo {
 
 namespace asio = boost::asio;
+using detail::CallDeadline;
 using detail::ConnectionPool;
 using detail::HttpConnection;
+using detail::RunningCall;
 
 namespace {
 
 // A connection that connected or answered within this time is assumed to work.
 constexpr Milliseconds recentActivityPeriod { 1000 };
 
-struct RunningCall {
-    CallHandle m_handle;
-    EndpointCall m_call;
-    EndpointReplyHandler m_handler;
-    MonotonicTime m_startedAt;
-    MonotonicTime m_sentAt;
-    ConnectionPool* m_pool = nullptr;
-    HttpConnection* m_connection = nullptr; // unset while queued
-};
-
-struct Deadline {
-    MonotonicTime m_at;
-    CallHandle m_call;
-
-    friend bool operator>(const Deadline& a, const Deadline& b) { return a.m_at > b.m_at; }
-};
-
 Microseconds elapsedSince(MonotonicTime start)
 {
     return std::chrono::duration_cast<Microseconds>(monotonicNow() - start);
@@ -154,6 +140,16 @@
         refill(pool);
     }
 
+    bool tryConnect(const EndpointId& endpoint, const std::string& address, std::uint16_t port)
+    {
+        ConnectionPool& pool = poolFor(endpoint);
+        useAddress(pool, address, port);
+        if (!pool.hasRoom())
+            return false;
+        open(pool, nullptr);
+        return true;
+    }
+
     void removeEndpoint(const EndpointId& endpoint)
     {
         const auto found = m_pools.find(endpoint);
@@ -394,7 +390,7 @@
         dispatchQueuedCalls(*pool);
     }
 
-    void addDeadline(const Deadline& deadline)
+    void addDeadline(const CallDeadline& deadline)
     {
         m_deadlines.push(deadline);
         if (deadline.m_at < m_timerExpiry)
@@ -546,7 +542,7 @@
     std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
     MonotonicTimer m_timer;
     MonotonicTime m_timerExpiry = MonotonicTime::max();
-    std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>> m_deadlines;
+    std::priority_queue<CallDeadline, std::vector<CallDeadline>, std::greater<>> m_deadlines;
     std::unordered_map<CallHandle, RunningCall> m_calls;
     std::unordered_map<EndpointId, ConnectionPool> m_pools;
     std::uint64_t m_lastHandle = 0;
@@ -579,6 +575,11 @@
     m_impl->preconnect(endpoint, address, port, count);
 }
 
+bool EndpointClient::tryConnect(const EndpointId& endpoint, const std::string& address, std::uint16_t port)
+{
+    return m_impl->tryConnect(endpoint, address, port);
+}
+
 void EndpointClient::removeEndpoint(const EndpointId& endpoint) { m_impl->removeEndpoint(endpoint); }
 
 EndpointConnections EndpointClient::connections(const EndpointId& endpoint) const
--- a/src/libflamingo/endpoint/endpointclient.h
+++ b/src/libflamingo/endpoint/endpointclient.h
@@ -61,6 +61,13 @@
      */
     void preconnect(const EndpointId& endpoint, const std::string& address, std::uint16_t port, std::uint32_t count);
 
+    /**
+     * Opens one connection that no call has asked for, to see whether the endpoint can be reached.
+     *
+     * Returns false if the endpoint has as many connections as its limit allows. The address must be an IP address.
+     */
+    bool tryConnect(const EndpointId& endpoint, const std::string& address, std::uint16_t port);
+
     /** Closes the endpoint's idle connections at once and the others after their calls. No precondition. */
     void removeEndpoint(const EndpointId& endpoint);
 
--- a/src/libflamingo/forward/forwardanswer.h
+++ b/src/libflamingo/forward/forwardanswer.h
@@ -32,6 +32,7 @@
     // From a merging VM: it still queries the missing shards, and their records can be requested later.
     bool m_moreFollows = false;
     Milliseconds m_retryAfter { 100 }; // sent with a refusal
+    bool m_cutOff = false; // the VM that served a relayed request lost its links; another VM may serve it
     std::uint32_t m_calls = 0; // number of calls, hedges and retries included
 };
 
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -1,9 +1,12 @@
 #include "forward/forwardexecution.h"
 
 #include "forward/forwardfinish.h"
+#include "forward/forwardstart.h"
 #include "forward/mergeplan.h"
 #include "forward/mergewire.h"
 #include "forward/placement.h"
+#include "forward/relayplan.h"
+#include "forward/relaywire.h"
 
 #include <algorithm>
 
@@ -14,6 +17,10 @@
 // Routed services have no snapshots, so all executions that wait for an endpoint of one use this empty key.
 const ShardHolding wholeService {};
 
+// Calls to other VMs to serve a request that may have been carried out. A VM that has just been cut off itself uses
+// one.
+constexpr std::uint32_t maxRelayAttempts = 3;
+
 /** Purpose of the next call of a part. */
 enum class CallKind {
     First,
@@ -21,6 +28,13 @@
     Retry, // after a call that failed or may have run
 };
 
+RoutingState& routingOfPart(ForwardState& state, const ForwardPart& part)
+{
+    if (part.m_relay || part.m_otherVm)
+        return state.m_relays;
+    return part.m_group.empty() ? state.m_routing : state.m_mergers;
+}
+
 /** Applies one event to an execution and collects the resulting effects. */
 class ForwardStep {
 public:
@@ -37,7 +51,7 @@
         for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
             const ForwardPart& part = m_execution.m_parts[index];
             m_execution.m_shardCount += part.shardCount();
-            if (part.m_group.empty())
+            if (!part.callsVm())
                 earnExtraLoad(forwardStats(m_state, part.m_service).m_budget);
             trySend(index, CallKind::First);
         }
@@ -48,15 +62,21 @@
         ForwardCall& call = m_execution.m_calls.at(number.value());
         ForwardPart& part = m_execution.m_parts[call.m_part];
         --part.m_openCalls;
-        const bool merged = !part.m_group.empty();
         std::optional<MergeReply> mergeReply;
-        if (merged && reply.m_outcome == CallOutcome::Answered && !reply.m_notRun)
-            mergeReply = decodeMergeReply(reply.m_body);
-        const CallVerdict verdict = merged ? mergeVerdict(reply, mergeReply.has_value())
-                                           : forwardVerdict(m_execution.m_request, m_route, reply);
+        std::optional<ForwardAnswer> relayedAnswer;
+        if (reply.m_outcome == CallOutcome::Answered && !reply.m_notRun) {
+            if (part.m_relay)
+                relayedAnswer = decodeRelayAnswer(reply.m_body);
+            else if (!part.m_group.empty())
+                mergeReply = decodeMergeReply(reply.m_body);
+        }
+        const CallVerdict verdict = part.callsVm() ? mergeVerdict(reply, mergeReply || relayedAnswer)
+                                                   : forwardVerdict(m_execution.m_request, m_route, reply);
+        if (!part.callsVm())
+            updateReachabilityOf(call.m_attempt.m_endpoint, reply.m_outcome);
         RoutingState& routing = routingOf(part);
         endAttempt(routing, part.m_service, call.m_attempt, verdict, &reply, m_now);
-        if (verdict == CallVerdict::Answered && !merged)
+        if (verdict == CallVerdict::Answered && !part.callsVm())
             addLatency(m_state.m_latencies[m_route.m_key],
                 std::chrono::duration_cast<Microseconds>(m_now - call.m_attempt.m_sentAt), m_now);
         unblockWaiting(routing, call.m_attempt.m_endpoint);
@@ -66,7 +86,12 @@
             handleFailure(call.m_part, std::move(reply));
             return;
         }
-        if (merged) {
+        if (relayedAnswer) {
+            m_execution.m_relayedAnswer = std::move(relayedAnswer);
+            closePart(part, ForwardPart::State::Answered);
+            return;
+        }
+        if (mergeReply) {
             handleMergeReply(part, call.m_attempt.m_endpoint, std::move(*mergeReply));
             return;
         }
@@ -92,6 +117,11 @@
     {
         if (m_execution.m_finished || m_execution.m_pausedUntil)
             return;
+        if (mustReturnToCallingVm()) {
+            m_execution.m_cutOff = true;
+            return;
+        }
+        relayIfCutOff();
         for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
             ForwardPart& part = m_execution.m_parts[index];
             if (part.m_state != ForwardPart::State::Open || part.m_pendingMerger)
@@ -135,9 +165,49 @@
     }
 
 private:
-    RoutingState& routingOf(const ForwardPart& part) const
+    RoutingState& routingOf(const ForwardPart& part) const { return routingOfPart(m_state, part); }
+
+    void updateReachabilityOf(EndpointIndex endpoint, CallOutcome outcome)
+    {
+        if (outcome == CallOutcome::Answered)
+            recordAnswer(m_state.m_reachability);
+        else if (outcome != CallOutcome::Cancelled)
+            recordNoAnswer(m_state.m_reachability, endpoint, m_now);
+    }
+
+    // The calling VM asks another one at once, unless a call that may run only once can still be answered.
+    bool mustReturnToCallingVm() const
     {
-        return part.m_group.empty() ? m_state.m_routing : m_state.m_mergers;
+        return m_state.m_reachability.m_cutOff && m_execution.m_request.m_relayed && (isIdempotent() || !mayHaveRun());
+    }
+
+    bool mayHaveRun() const
+    {
+        return std::any_of(m_execution.m_parts.begin(), m_execution.m_parts.end(),
+            [](const ForwardPart& part) { return part.m_possibleRuns > 0; });
+    }
+
+    bool isRelayed() const
+    {
+        return std::any_of(m_execution.m_parts.begin(), m_execution.m_parts.end(),
+            [](const ForwardPart& part) { return part.m_relay; });
+    }
+
+    // Lets another VM serve the request if this VM cannot reach the endpoints. A request that may run only once is
+    // relayed only if no call of it may have run.
+    void relayIfCutOff()
+    {
+        if (!mayRelay(m_state, m_execution.m_request) || isRelayed())
+            return;
+        if (mayHaveRun() && !isIdempotent())
+            return;
+        for (ForwardPart& part : m_execution.m_parts) {
+            part.m_retryAt = MonotonicTime::max();
+            part.m_hedgeAt = MonotonicTime::max();
+            stopWaitingFor(part);
+        }
+        m_execution.m_parts.push_back(relayPart());
+        trySend(m_execution.m_parts.size() - 1, CallKind::First);
     }
 
     bool isIdempotent() const { return m_route.m_idempotence == Idempotence::Idempotent; }
@@ -232,21 +302,26 @@
         if (part.m_openCalls > 0)
             return; // another call of the part may still answer
         part.m_hedgeAt = MonotonicTime::max();
-        const bool refusalsExceeded = part.m_refusals + part.m_unsentCalls > m_state.m_settings.m_maxRefusals;
+        const unsigned maxRefusals
+            = part.callsVm() ? m_state.m_settings.m_maxVmRefusals : m_state.m_settings.m_maxRefusals;
+        const bool refusalsExceeded = part.m_refusals + part.m_unsentCalls > maxRefusals;
         if ((!notRun && !isIdempotent()) || refusalsExceeded) {
             closePart(part, ForwardPart::State::Lost);
             return;
         }
         if (m_execution.m_pausedUntil)
             return;
+        relayIfCutOff();
         trySend(index, CallKind::Retry);
     }
 
     void trySend(std::size_t index, CallKind kind)
     {
         ForwardPart& part = m_execution.m_parts[index];
-        if (part.m_possibleRuns >= std::max(1U, m_route.m_maxAttempts)
-            || (kind == CallKind::Hedge && !isIdempotent())) {
+        if (!part.m_relay && isRelayed())
+            return; // the other VM has taken over
+        const std::uint32_t maxAttempts = part.m_relay ? maxRelayAttempts : std::max(1U, m_route.m_maxAttempts);
+        if (part.m_possibleRuns >= maxAttempts || (kind == CallKind::Hedge && !isIdempotent())) {
             giveUp(part, kind);
             return;
         }
@@ -256,7 +331,7 @@
             return;
         }
         // A call counts as extra load only if an earlier call of this part has reached an endpoint.
-        const bool extra = part.m_possibleRuns + part.m_refusals > 0;
+        const bool extra = part.m_possibleRuns + (part.callsVm() ? 0 : part.m_refusals) > 0;
         if (extra && !trySpendExtraLoad(part, kind)) {
             giveUp(part, kind);
             return;
@@ -265,20 +340,35 @@
     }
 
     EndpointChoice choose(ForwardPart& part, CallKind kind)
+    {
+        const bool hedge = kind == CallKind::Hedge;
+        EndpointChoice choice = place(part, hedge);
+        if (choice.m_endpoint || hedge || choice.m_busy)
+            return choice;
+        if (!part.m_group.empty() && !part.m_otherVm) {
+            // All owners of the group refuse or are lost. Any other VM can merge its shards, if more slowly.
+            stopWaitingFor(part);
+            part.m_otherVm = true;
+            part.m_service = relayServiceName();
+            part.m_triedEndpoints.clear();
+            return place(part, hedge);
+        }
+        if (part.m_triedEndpoints.empty())
+            return choice;
+        // No other endpoint can take the call, so those that were tried are allowed again.
+        part.m_triedEndpoints.clear();
+        return place(part, hedge);
+    }
+
+    EndpointChoice place(const ForwardPart& part, bool hedge)
     {
         static const std::vector<EndpointIndex> none;
         RoutingState& routing = routingOf(part);
         const auto& members = routing.m_table.m_members;
         const auto found = members.find(part.m_service);
         const std::vector<EndpointIndex>& replicas = found == members.end() ? none : found->second;
-        const bool hedge = kind == CallKind::Hedge;
         const PlacementRequest request { typicalLatency(m_state, m_route), remotePenalty(m_route), replicas,
             part.m_triedEndpoints, hedge };
-        EndpointChoice choice = placeCall(routing, request, m_state.m_random, m_now);
-        if (choice.m_endpoint || hedge || part.m_triedEndpoints.empty() || choice.m_busy)
-            return choice;
-        // No other endpoint can take the call, so those that were tried are allowed again.
-        part.m_triedEndpoints.clear();
         return placeCall(routing, request, m_state.m_random, m_now);
     }
 
@@ -287,13 +377,19 @@
     {
         // Retrying a merging VM repeats the calls to all shards of its group. These shards get the same requests, so
         // the budget of the first one represents them all.
-        ExtraLoadBudget& budget
-            = forwardStats(m_state, part.m_group.empty() ? part.m_service : part.m_group.front()).m_budget;
+        ExtraLoadBudget& budget = forwardStats(m_state, budgetService(part)).m_budget;
         if (kind == CallKind::Hedge && budget.m_tokens < 1.0 + budget.m_burst * m_state.m_settings.m_retryReserve)
             return false;
         return spendExtraLoad(budget);
     }
 
+    const ServiceName& budgetService(const ForwardPart& part) const
+    {
+        if (part.m_relay)
+            return m_route.m_shards.empty() ? m_route.m_targets.front().m_service : m_route.m_shards.front();
+        return part.m_group.empty() ? part.m_service : part.m_group.front();
+    }
+
     void giveUp(ForwardPart& part, CallKind kind)
     {
         if (kind != CallKind::Hedge && part.m_openCalls == 0)
@@ -311,7 +407,9 @@
             part.m_retryAt = choice.m_rateLimitedUntil.value_or(MonotonicTime::max());
             return;
         }
-        if (choice.m_retryAt && *choice.m_retryAt < std::min(m_execution.m_goalAt, m_execution.m_deadline)) {
+        // A VM that refuses to serve a request is cut off as well or at its limit, and stays so for a while.
+        if (!part.m_relay && choice.m_retryAt
+            && *choice.m_retryAt < std::min(m_execution.m_goalAt, m_execution.m_deadline)) {
             part.m_retryAt = std::max(*choice.m_retryAt, m_now);
             return;
         }
@@ -328,12 +426,17 @@
         ++part.m_possibleRuns;
         part.m_retryAt = MonotonicTime::max();
         // Merging VMs send their own hedges. A second merging VM would exceed the attempts allowed for each shard.
-        part.m_hedgeAt = isIdempotent() && part.m_group.empty() && part.m_possibleRuns < m_route.m_maxAttempts
+        part.m_hedgeAt = isIdempotent() && !part.callsVm() && part.m_possibleRuns < m_route.m_maxAttempts
             ? m_now + forwardHedgeDelay(m_state, m_route)
             : MonotonicTime::max();
         const ForwardRequest& request = m_execution.m_request;
         EndpointCall call;
-        if (part.m_group.empty()) {
+        if (part.m_relay) {
+            // A request that may run only once is given all its time, since it cannot be sent to another VM afterwards.
+            if (isIdempotent() && m_route.m_goal.count() > 0)
+                call.m_answerBy = mergerReplyDeadline();
+            writeRelayCall(request, goalLeftForMerger(), call);
+        } else if (part.m_group.empty()) {
             call.m_method = request.m_method;
             call.m_host = request.m_host;
             call.m_path = request.m_target;
@@ -359,7 +462,9 @@
         call.m_deadline = m_execution.m_deadline;
         call.m_dedicatedConnection = !isIdempotent();
         call.m_recentlyActiveConnection = kind != CallKind::First;
-        m_effects.m_sends.push_back({ number, std::move(call), kind == CallKind::Hedge, !part.m_group.empty() });
+        if (!part.callsVm())
+            recordCallSent(m_state.m_reachability, endpoint, m_now);
+        m_effects.m_sends.push_back({ number, std::move(call), kind == CallKind::Hedge, part.callsVm() });
     }
 
     // Returns when a call to a merging VM times out. A merging VM answers at the goal at the latest; if another full
@@ -415,66 +520,12 @@
     ForwardEffects m_effects;
 };
 
-// Returns a random target, in proportion to the weights.
-ServiceName chooseTarget(const Route& route, RandomEngine& random)
-{
-    double total = 0.0;
-    for (const RouteTarget& target : route.m_targets)
-        total += target.m_weight;
-    double drawn = std::uniform_real_distribution<double>(0.0, total)(random);
-    for (const RouteTarget& target : route.m_targets) {
-        if (drawn < target.m_weight)
-            return target.m_service;
-        drawn -= target.m_weight;
-    }
-    return route.m_targets.back().m_service;
-}
-
-void setDeadlines(const ForwardState& state, ForwardExecution& execution)
-{
-    const ForwardSettings& settings = state.m_settings;
-    const ForwardRequest& request = execution.m_request;
-    const Route& route = *request.m_route;
-    Milliseconds allowed = route.m_timeout;
-    if (request.m_timeLeft.count() > 0)
-        allowed = std::min(allowed, request.m_timeLeft);
-    // Limits the reserve to a quarter, so that a short timeout is not used up by it.
-    allowed -= std::min(settings.m_deadlineReserve, allowed / 4);
-    execution.m_deadline = request.m_receivedAt + allowed;
-    if (request.m_partialAnswerAfter) {
-        execution.m_goalAt = request.m_receivedAt + *request.m_partialAnswerAfter;
-        return;
-    }
-    if (route.m_goal.count() == 0)
-        return;
-    const Microseconds reserve = state.m_goalLag + settings.m_answerReserve
-        + (request.m_newConnection ? settings.m_connectReserve : Milliseconds(0));
-    execution.m_goalAt = request.m_receivedAt + std::max<Microseconds>(route.m_goal - reserve, route.m_goal / 2);
-}
-
 } // namespace
 
 ForwardEffects startForward(ForwardState& state, ForwardExecution& execution, MonotonicTime now)
 {
-    const Route& route = *execution.m_request.m_route;
     setDeadlines(state, execution);
-    if (route.m_shards.empty()) {
-        execution.m_parts.emplace_back();
-        execution.m_parts.back().m_service = chooseTarget(route, state.m_random);
-    }
-    if (!execution.m_request.m_partialAnswerAfter && usesMergers(state, route)) {
-        std::vector<std::vector<ServiceName>> groups = mergeGroups(route.m_shards, state.m_settings.m_shardsPerGroup);
-        for (std::size_t group = 0; group < groups.size(); ++group) {
-            execution.m_parts.emplace_back();
-            execution.m_parts.back().m_service = mergeGroupName(group);
-            execution.m_parts.back().m_group = std::move(groups[group]);
-        }
-    } else {
-        for (const ServiceName& shard : route.m_shards) {
-            execution.m_parts.emplace_back();
-            execution.m_parts.back().m_service = shard;
-        }
-    }
+    makeParts(state, execution);
     ForwardStep step(state, execution, now);
     step.start();
     return step.finish();
@@ -514,8 +565,7 @@
     execution.m_finished = true;
     for (ForwardPart& part : execution.m_parts) {
         if (std::exchange(part.m_waiting, false))
-            stopWaiting(
-                part.m_group.empty() ? state.m_routing : state.m_mergers, part.m_service, wholeService, execution.m_id);
+            stopWaiting(routingOfPart(state, part), part.m_service, wholeService, execution.m_id);
     }
 }
 
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -13,7 +13,8 @@
 namespace flamingo {
 
 /**
- * One part of a forwarded request: a call to one service, or to a merging VM for a group of shards.
+ * One part of a forwarded request: a call to one service, to a merging VM for a group of shards, or to a VM that serves
+ * the whole request.
  *
  * A part may need several calls because of hedges and retries.
  */
@@ -26,6 +27,8 @@
 
     ServiceName m_service; // service of the endpoints, or name of the group (see mergeGroupName())
     std::vector<ServiceName> m_group; // shards requested from a merging VM; empty for a single service
+    bool m_relay = false; // another VM serves the whole request
+    bool m_otherVm = false; // the group is requested from a VM that does not own it, since no owner takes the call
     State m_state = State::Open;
     std::uint32_t m_openCalls = 0;
     std::uint32_t m_possibleRuns = 0; // calls that ran or may have run
@@ -42,7 +45,14 @@
     std::optional<EndpointIndex> m_pendingMerger; // merging VM that still queries the remaining shards
     bool m_delivered = false; // on a merging VM: already contained in an earlier answer
 
-    std::uint32_t shardCount() const { return m_group.empty() ? 1U : static_cast<std::uint32_t>(m_group.size()); }
+    bool callsVm() const { return m_relay || !m_group.empty(); }
+
+    std::uint32_t shardCount() const
+    {
+        if (m_relay)
+            return 0;
+        return m_group.empty() ? 1U : static_cast<std::uint32_t>(m_group.size());
+    }
 };
 
 /** One call of an execution to an endpoint or a merging VM. */
@@ -63,6 +73,8 @@
     std::uint32_t m_shardCount = 0;
     std::uint32_t m_answeredShards = 0;
     std::uint32_t m_lostShards = 0;
+    bool m_cutOff = false; // a relayed request that this VM returns, since it has lost its links to the endpoints
+    std::optional<ForwardAnswer> m_relayedAnswer; // answer of the VM that served the request
     // Set on a merging VM after an incomplete answer: the execution can be resumed until this time.
     std::optional<MonotonicTime> m_pausedUntil;
     bool m_finished = false;
@@ -74,7 +86,7 @@
         AttemptNumber m_attempt;
         EndpointCall m_call;
         bool m_hedge = false;
-        bool m_toMerger = false; // goes to a merging VM, not to an endpoint
+        bool m_toVm = false; // goes to another VM, not to an endpoint
     };
 
     std::vector<Send> m_sends;
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -19,6 +19,7 @@
     answer.m_shardCount = execution.m_shardCount;
     answer.m_missingShards = answer.m_shardCount - execution.m_answeredShards;
     answer.m_calls = static_cast<std::uint32_t>(execution.m_calls.size());
+    answer.m_cutOff = execution.m_cutOff;
     return answer;
 }
 
@@ -127,6 +128,39 @@
     return std::nullopt;
 }
 
+std::optional<ForwardAnswer> ownAnswer(const ForwardExecution& execution, MonotonicTime now)
+{
+    const ForwardPart& part = execution.m_parts.front();
+    if (execution.m_request.m_route->m_shards.empty())
+        return part.m_state == ForwardPart::State::Answered && part.m_reply
+            ? std::optional(passedAnswer(execution, *part.m_reply))
+            : std::nullopt;
+    const bool complete = execution.m_answeredShards == execution.m_shardCount;
+    if (execution.m_shardCount > 0 && execution.m_answeredShards >= minAnsweredShards(execution)
+        && (complete || now >= execution.m_goalAt))
+        return mergedAnswer(execution);
+    return std::nullopt;
+}
+
+/** Decides on a request that another VM serves, perhaps after calls of this VM that may still be answered. */
+std::optional<ForwardAnswer> decideRelayed(
+    const ForwardExecution& execution, const ForwardPart& relay, MonotonicTime now)
+{
+    if (execution.m_relayedAnswer) {
+        ForwardAnswer answer = *execution.m_relayedAnswer;
+        answer.m_id = execution.m_request.m_id;
+        answer.m_calls = static_cast<std::uint32_t>(execution.m_calls.size());
+        return answer;
+    }
+    if (auto answer = ownAnswer(execution, now))
+        return answer;
+    if (relay.m_state == ForwardPart::State::Lost)
+        return failureAnswer(execution, "this VM cannot reach the endpoints, and no other VM served the request");
+    if (now >= execution.m_deadline)
+        return deadlineAnswer(execution);
+    return std::nullopt;
+}
+
 } // namespace
 
 CallVerdict mergeVerdict(const EndpointReply& reply, bool wellFormed)
@@ -159,6 +193,12 @@
 
 std::optional<ForwardAnswer> decideAnswer(const ForwardExecution& execution, MonotonicTime now)
 {
+    if (execution.m_cutOff)
+        return failureAnswer(execution, "this VM has lost its links to the endpoints");
+    const auto relay = std::find_if(
+        execution.m_parts.begin(), execution.m_parts.end(), [](const ForwardPart& part) { return part.m_relay; });
+    if (relay != execution.m_parts.end())
+        return decideRelayed(execution, *relay, now);
     if (execution.m_request.m_route->m_shards.empty())
         return decideSingle(execution, now);
     return decideFanOut(execution, now);
--- a/src/libflamingo/forward/forwardsettings.h
+++ b/src/libflamingo/forward/forwardsettings.h
@@ -46,6 +46,10 @@
     Milliseconds m_controlRetryAfter { 1000 };
     // Number of calls for one part of a request that may be refused or fail to be sent; one more gives the part up.
     unsigned m_maxRefusals = 3;
+    // The same for calls to other VMs, most of which may be cut off from the endpoints. A refusal costs a round trip.
+    unsigned m_maxVmRefusals = 8;
+    // Delay suggested to another VM while this one cannot reach the endpoints.
+    Milliseconds m_cutOffRetryAfter { 1000 };
 };
 
 } // namespace flamingo
--- a/src/libflamingo/forward/forwardstate.cpp
+++ b/src/libflamingo/forward/forwardstate.cpp
@@ -54,6 +54,7 @@
     routing.m_statsHalfLife = memoryHalfLife;
     routing.m_maxEjection = maxEjection;
     state.m_mergers = makeRoutingState(routing);
+    state.m_relays = makeRoutingState(routing);
     routing.m_callsPerSlot = callsPerSlot;
     state.m_routing = makeRoutingState(routing);
     return state;
--- a/src/libflamingo/forward/forwardstate.h
+++ b/src/libflamingo/forward/forwardstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/forwardsettings.h"
+#include "forward/reachability.h"
 #include "routes/routeconfiguration.h"
 #include "routes/routetable.h"
 #include "routing/endpointchoice.h"
@@ -28,6 +29,9 @@
     std::set<ServiceName> m_ownShards; // shards of the groups that this VM owns
     std::set<ServiceName> m_directServices; // services of routes that are not merged in two levels
 
+    EndpointReachability m_reachability;
+    RoutingState m_relays; // VMs that may serve requests of this one, see relayplan.h. Updated by updateRelays().
+
     // Recent delay between the planned and the actual time of answers that were due at the goal.
     Microseconds m_goalLag { 2000 };
 };
--- a/src/libflamingo/forward/mergeplan.cpp
+++ b/src/libflamingo/forward/mergeplan.cpp
@@ -1,7 +1,8 @@
 #include "forward/mergeplan.h"
 
 #include "base/hash.h"
-#include "link/socketaddress.h"
+#include "forward/relayplan.h"
+#include "forward/vmendpoints.h"
 #include "routing/connectionshare.h"
 
 #include <algorithm>
@@ -13,23 +14,11 @@
 
 // Minimum number of owners of a group, so that a choice remains after the loss of one.
 constexpr std::size_t minOwners = 3;
-// Concurrent calls per merging VM. High enough not to limit entry VMs, since requests queue at the endpoints.
-constexpr std::uint32_t mergerSlots = 64;
 // Connections kept open in advance to each endpoint.
 constexpr std::uint32_t warmConnections = 1;
 
 using VmList = std::vector<const VmRecord*>;
 
-VmList servingVms(const PublishedState& published)
-{
-    VmList vms;
-    for (const auto& [id, vm] : published.m_vms) {
-        if (!vm.m_departed && parseSocketAddress(vm.m_address))
-            vms.push_back(&vm);
-    }
-    return vms;
-}
-
 bool isLargeFanOut(const ForwardState& state, const Route& route)
 {
     return route.m_shards.size() >= state.m_settings.m_minShardsForTwoLevels;
@@ -73,21 +62,6 @@
     return owners;
 }
 
-EndpointRecord mergerRecord(const VmRecord& vm, std::size_t group, std::uint16_t port)
-{
-    EndpointRecord record;
-    record.m_id = EndpointId(vm.m_id.value() + "/" + std::to_string(group));
-    record.m_service = mergeGroupName(group);
-    record.m_address = parseSocketAddress(vm.m_address)->address().to_string();
-    record.m_port = port;
-    record.m_dataCentre = vm.m_dataCentre;
-    record.m_incarnation = vm.m_incarnation;
-    record.m_slots = mergerSlots;
-    record.m_connections = mergerSlots;
-    record.m_routed = true;
-    return record;
-}
-
 std::uint64_t mergeInputHash(const PublishedState& published, const VmList& vms)
 {
     std::uint64_t inputHash = published.m_routeHeader.m_version.value();
@@ -184,6 +158,7 @@
     if (inputHash == state.m_mergeInputHash)
         return;
     state.m_mergeInputHash = inputHash;
+    updateRelays(state, now);
     const std::size_t groups = groupCount(state, published);
     RoutingTable& table = state.m_routing.m_table;
     table.m_sharingVmCounts.clear();
@@ -204,7 +179,8 @@
     for (std::size_t group = 0; group < groups; ++group) {
         for (const VmRecord* vm : ownersOf(dataCentres, group, groups)) {
             own[group] = own[group] || vm->m_id == self.m_id;
-            EndpointRecord record = mergerRecord(*vm, group, state.m_settings.m_mergePort);
+            const EndpointId id(vm->m_id.value() + "/" + std::to_string(group));
+            EndpointRecord record = vmEndpoint(*vm, id, mergeGroupName(group), state.m_settings.m_mergePort);
             mergers->m_endpoints[record.m_id] = std::move(record);
         }
     }
--- a/src/libflamingo/forward/mergeplan.h
+++ b/src/libflamingo/forward/mergeplan.h
@@ -53,7 +53,8 @@
  */
 bool callsDirectly(const ForwardState& state, const ServiceName& service);
 
-/** Recomputes the owners of all groups if the admitted VMs or the routes have changed. */
+/** Recomputes the owners of all groups, and the VMs to relay requests to, if the admitted VMs or the routes have
+ * changed. */
 void updateMergers(ForwardState& state, MonotonicTime now);
 
 } // namespace flamingo
--- a/src/libflamingo/forward/mergewire.cpp
+++ b/src/libflamingo/forward/mergewire.cpp
@@ -1,78 +1,52 @@
 #include "forward/mergewire.h"
 
-#include "base/cborcheck.h"
 #include "control/cborwriter.h"
+#include "forward/vmmessage.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <exception>
 #include <limits>
-#include <stdexcept>
 
 namespace flamingo {
 
 namespace {
 
+using detail::parseMessage;
+using detail::readInteger;
+using detail::readStrings;
+using detail::readTimeLeft;
 using Json = nlohmann::json;
 
 constexpr char mergePath[] = "/merge";
 constexpr char resumePath[] = "/merge/rest";
-constexpr char deadlineField[] = "X-Flamingo-Deadline-Ms";
-constexpr char notRunField[] = "X-Flamingo-Not-Run";
 constexpr std::size_t callFieldCount = 15;
 constexpr std::size_t resumeFieldCount = 3;
 constexpr std::size_t replyFieldCount = 3;
 
-bool isValidCall(const EndpointCall& call) { return call.m_path == mergePath || call.m_path == resumePath; }
+bool isValidCall(const EndpointCall& call)
+{
+    return call.m_path == mergePath || call.m_path == resumePath || call.m_path == detail::relayPath;
+}
 
 std::string writeCall(const EndpointCall& call, Milliseconds remaining)
 {
     std::string header = "POST ";
     header.append(call.m_path).append(" HTTP/1.1\r\nHost: ").append(call.m_address).append("\r\n");
     header.append("Content-Length: ").append(std::to_string(call.m_body.size())).append("\r\n");
-    header.append(deadlineField).append(": ").append(std::to_string(remaining.count())).append("\r\n\r\n");
+    header.append(detail::deadlineField).append(": ").append(std::to_string(remaining.count())).append("\r\n\r\n");
     return header;
 }
 
-void readField(EndpointReply& reply, std::string_view name, std::string_view)
+void readField(EndpointReply& reply, std::string_view name, std::string_view value)
 {
-    if (name == notRunField)
+    if (name == detail::notRunField)
         reply.m_notRun = true;
+    else if (name == detail::retryAfterField)
+        reply.m_retryAfter = detail::readMilliseconds(value);
 }
 
-Milliseconds readTimeLeft(const HttpRequest& http)
-{
-    const std::string_view text = findField(http.m_fields, deadlineField);
-    std::uint32_t milliseconds = 0;
-    std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-    return Milliseconds(milliseconds);
-}
-
-// A message is an array whose values are at most lists of texts.
-constexpr std::size_t maxDepth = 3;
-// Holds the shards of a group and the headers of a caller's request.
-constexpr std::size_t maxItems = 100000;
-
-/** Parses a message; the result is discarded if it is malformed or nested too deeply for nlohmann's parser. */
-Json parseMessage(const std::string& body)
-{
-    if (!isBoundedCbor(body, maxDepth, maxItems))
-        return Json(Json::value_t::discarded);
-    return Json::from_cbor(body, true, false);
-}
-
-/** Reads an integer; throws std::out_of_range if it does not fit, where Json::get() would wrap it. */
-template <typename Integer> Integer readInteger(const Json& json)
-{
-    if (!json.is_number_unsigned() || json.get<std::uint64_t>() > std::numeric_limits<Integer>::max())
-        throw std::out_of_range("an integer is negative, too large or of another type");
-    return json.get<Integer>();
-}
-
-std::vector<std::string> readStrings(const Json& json) { return json.get<std::vector<std::string>>(); }
-
 // Precondition: the JSON is an array of callFieldCount values. Throws an exception for a value of a wrong type.
 void readCall(const Json& json, ForwardRequest& request, Route& route, Milliseconds& goalLeft)
 {
@@ -186,7 +160,7 @@
         const bool notRun = resultClass(answer.m_code) == ResultClass::NotRun;
         response.m_status = notRun ? unavailable : failed;
         if (notRun)
-            response.m_fields.push_back({ notRunField, "1" });
+            detail::appendRefusal(response, answer.m_retryAfter);
         return response;
     }
     CborWriter writer;
--- /dev/null
+++ b/src/libflamingo/forward/relaywire.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/reason.h"
+#include "endpoint/endpointcall.h"
+#include "forward/forwardanswer.h"
+#include "forward/forwardrequest.h"
+#include "http/httpmessages.h"
+
+#include <optional>
+
+namespace flamingo {
+
+/**
+ * Messages by which an entry VM that cannot reach the endpoints lets another one serve a request.
+ *
+ * A call carries the request and its route, so that it is handled by the configuration of the calling VM. The answer
+ * carries the final answer. All functions are thread-safe.
+ */
+
+/** Returns whether the request is a call to serve a request of another VM. */
+bool isRelayCall(const HttpRequest& http);
+
+/**
+ * Sets the call's path and body. Precondition: the request has its route.
+ *
+ * After goalLeft the other VM answers with the shards it has by then, as far as the route allows.
+ */
+void writeRelayCall(const ForwardRequest& request, Milliseconds goalLeft, EndpointCall& call);
+
+/** Decodes a call into a request with its route. Returns false and sets the reason if the call is malformed. */
+bool decodeRelayCall(const HttpRequest& http, ForwardRequest& request, Reason& reason);
+
+/** Encodes the answer to a call. */
+HttpResponse encodeRelayAnswer(const ForwardAnswer& answer);
+
+/** Decodes the body of an answer; returns nothing if it is malformed. */
+std::optional<ForwardAnswer> decodeRelayAnswer(const std::string& body);
+
+} // namespace flamingo
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -106,7 +106,7 @@
     ForwardExecution execution = vm.execution(vm.m_fanOut);
     const ForwardEffects started = vm.start(execution);
     REQUIRE(started.m_sends.size() == 6); // groups of ten shards
-    CHECK(started.m_sends[0].m_toMerger);
+    CHECK(started.m_sends[0].m_toVm);
 
     SECTION("each group has owners, and only they share the connections to its endpoints")
     {
--- /dev/null
+++ b/src/libflamingo/forward/vmmessage.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/time.h"
+#include "http/httpmessages.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace flamingo::detail {
+
+// Parts of the messages between entry VMs: HTTP with CBOR bodies. All functions are thread-safe.
+
+inline constexpr char relayPath[] = "/relay";
+inline constexpr char deadlineField[] = "X-Flamingo-Deadline-Ms";
+inline constexpr char notRunField[] = "X-Flamingo-Not-Run";
+inline constexpr char retryAfterField[] = "X-Flamingo-Retry-After-Ms";
+
+/** Parses a message; the result is discarded if it is malformed or nested too deeply for nlohmann's parser. */
+nlohmann::json parseMessage(const std::string& body);
+
+/** Reads an integer; throws std::out_of_range if it does not fit, where Json::get() would wrap it. */
+template <typename Integer> Integer readInteger(const nlohmann::json& json)
+{
+    if (!json.is_number_unsigned() || json.get<std::uint64_t>() > std::numeric_limits<Integer>::max())
+        throw std::out_of_range("an integer is negative, too large or of another type");
+    return json.get<Integer>();
+}
+
+/** Reads a list of texts; throws an exception for a value of another type. */
+std::vector<std::string> readStrings(const nlohmann::json& json);
+
+/** Parses a number of milliseconds; returns 0 if it is malformed. */
+Milliseconds readMilliseconds(std::string_view text);
+
+/** Returns how long the calling VM still waits, as the message states it; 0 if it does not. */
+Milliseconds readTimeLeft(const HttpRequest& http);
+
+/** Marks the response as a refusal: the request has not run. */
+void appendRefusal(HttpResponse& response, Milliseconds retryAfter);
+
+} // namespace flamingo::detail
--- a/src/libflamingo/routing/routingstate.cpp
+++ b/src/libflamingo/routing/routingstate.cpp
@@ -98,6 +98,20 @@
     return oldest;
 }
 
+void forgetFailuresSince(RoutingState& routing, MonotonicTime since)
+{
+    for (EndpointStats& stats : routing.m_endpoints) {
+        if (stats.m_failureRateAt >= since)
+            stats.m_failureRate = 0.0;
+        if (!stats.m_ejected || stats.m_ejectedAt < since)
+            continue;
+        stats.m_ejected = false;
+        stats.m_ejection = Milliseconds(0);
+        stats.m_consecutiveFailures = 0;
+        stats.m_consecutiveLostRaces = 0;
+    }
+}
+
 EndpointStats* statsOf(RoutingState& routing, EndpointIndex endpoint, std::uint64_t generation)
 {
     if (endpoint.value() >= routing.m_endpoints.size())
--- a/src/libflamingo/routing/routingstate.h
+++ b/src/libflamingo/routing/routingstate.h
@@ -80,6 +80,9 @@
 /** Returns the execution that has waited longest for a shard of the endpoint, or nullopt. */
 std::optional<ExecutionId> longestWaiting(const RoutingState& routing, EndpointIndex endpoint);
 
+/** Readmits endpoints ejected since the time and forgets their failures, which were not theirs. */
+void forgetFailuresSince(RoutingState& routing, MonotonicTime since);
+
 /** Returns the statistics of the endpoint, or null if they are of another generation. */
 EndpointStats* statsOf(RoutingState& routing, EndpointIndex endpoint, std::uint64_t generation);
 
