Test the links to endpoints only after twice the usual time without an answer

The time now also has to be twice the usual one of the route. A VM that is cut off while it serves a request of another VM returns it when a call fails, not only at its next timer, and logs each call for its groups that it refuses.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -261,6 +261,7 @@
     Reason reason;
     if (m_state.m_reachability.m_cutOff) {
         // The calling VM asks another owner of the group instead of waiting for this one until the goal.
+        FLAMINGO_LOG(Info, "merge call refused", { "reason", "this VM cannot reach the endpoints" });
         ForwardAnswer answer;
         answer.m_code = ResultCode::NoEndpoint;
         answer.m_retryAfter = m_state.m_settings.m_cutOffRetryAfter;
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -311,6 +311,10 @@
         }
         if (m_execution.m_pausedUntil)
             return;
+        if (mustReturnToCallingVm()) {
+            m_execution.m_cutOff = true;
+            return;
+        }
         relayIfCutOff();
         trySend(index, CallKind::Retry);
     }
@@ -463,7 +467,7 @@
         call.m_dedicatedConnection = !isIdempotent();
         call.m_recentlyActiveConnection = kind != CallKind::First;
         if (!part.callsVm())
-            recordCallSent(m_state.m_reachability, endpoint, m_now);
+            recordCallSent(m_state.m_reachability, endpoint, forwardHedgeDelay(m_state, m_route), m_now);
         m_effects.m_sends.push_back({ number, std::move(call), kind == CallKind::Hedge, part.callsVm() });
     }
 
--- a/src/libflamingo/forward/reachability.cpp
+++ b/src/libflamingo/forward/reachability.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-// A call without an answer for this long raises a suspicion if no other call was answered meanwhile.
-constexpr Milliseconds overdueTime { 150 };
+// A call without an answer for this long, and for a multiple of the usual time, raises a suspicion if no other call was
+// answered meanwhile.
+constexpr Milliseconds minOverdueTime { 150 };
+constexpr int overdueFactor = 2;
 // A reachable endpoint accepts a connection well within this time.
 constexpr Milliseconds testTime { 150 };
 // Interval of tests while the VM is cut off. Each tries a few connections, which cost reachable endpoints little.
@@ -16,7 +18,7 @@
 bool isSuspicious(const EndpointReachability& reachability, MonotonicTime now)
 {
     return std::any_of(reachability.m_unanswered.begin(), reachability.m_unanswered.end(),
-        [now](const auto& entry) { return entry.second.m_failed || now - entry.second.m_sentAt >= overdueTime; });
+        [now](const auto& entry) { return entry.second.m_failed || now >= entry.second.m_overdueAt; });
 }
 
 ReachabilityAction startTest(EndpointReachability& reachability, std::uint64_t connectionsOpened, MonotonicTime now)
@@ -40,10 +42,12 @@
 
 } // namespace
 
-void recordCallSent(EndpointReachability& reachability, EndpointIndex endpoint, MonotonicTime now)
+void recordCallSent(
+    EndpointReachability& reachability, EndpointIndex endpoint, Microseconds usualTime, MonotonicTime now)
 {
+    const MonotonicTime overdueAt = now + std::max<Microseconds>(minOverdueTime, usualTime * overdueFactor);
     if (reachability.m_unanswered.size() < EndpointReachability::maxUnanswered)
-        reachability.m_unanswered.try_emplace(endpoint, EndpointReachability::Unanswered { now, false });
+        reachability.m_unanswered.try_emplace(endpoint, EndpointReachability::Unanswered { overdueAt, false });
 }
 
 void recordAnswer(EndpointReachability& reachability)
@@ -56,7 +60,7 @@
 
 void recordNoAnswer(EndpointReachability& reachability, EndpointIndex endpoint, MonotonicTime now)
 {
-    recordCallSent(reachability, endpoint, now);
+    recordCallSent(reachability, endpoint, Microseconds(0), now);
     const auto unanswered = reachability.m_unanswered.find(endpoint);
     if (unanswered != reachability.m_unanswered.end())
         unanswered->second.m_failed = true;
--- a/src/libflamingo/forward/reachability.h
+++ b/src/libflamingo/forward/reachability.h
@@ -18,7 +18,7 @@
 struct EndpointReachability {
     /** A call without an answer, sent after the newest answer of any endpoint. */
     struct Unanswered {
-        MonotonicTime m_sentAt;
+        MonotonicTime m_overdueAt; // from then on, an answer is later than usual
         bool m_failed = false; // ended without an answer
     };
 
@@ -34,8 +34,9 @@
     static constexpr std::size_t maxUnanswered = 16;
 };
 
-/** Records that a call was sent to the endpoint. */
-void recordCallSent(EndpointReachability& reachability, EndpointIndex endpoint, MonotonicTime now);
+/** Records that a call was sent to the endpoint. Most calls like it are answered within usualTime. */
+void recordCallSent(
+    EndpointReachability& reachability, EndpointIndex endpoint, Microseconds usualTime, MonotonicTime now);
 
 /** Records that an endpoint answered, with any status: its links work. */
 void recordAnswer(EndpointReachability& reachability);
--- a/src/libflamingo/forward/tests/reachabilitytest.cpp
+++ b/src/libflamingo/forward/tests/reachabilitytest.cpp
@@ -15,15 +15,22 @@
     EndpointReachability reachability;
     std::uint64_t opened = 40;
     const auto update = [&](int time) { return updateReachability(reachability, opened, at(time)); };
-    recordCallSent(reachability, EndpointIndex(1), at(0));
+    recordCallSent(reachability, EndpointIndex(1), Milliseconds(20), at(0));
     CHECK(update(100) == ReachabilityAction::None);
 
     SECTION("an answer of any endpoint removes the suspicion")
     {
-        recordCallSent(reachability, EndpointIndex(2), at(90));
+        recordCallSent(reachability, EndpointIndex(2), Milliseconds(20), at(90));
         recordAnswer(reachability);
         CHECK(update(300) == ReachabilityAction::None);
     }
+    SECTION("a call that usually takes long is not suspicious before that time")
+    {
+        recordAnswer(reachability);
+        recordCallSent(reachability, EndpointIndex(1), Milliseconds(180), at(100));
+        CHECK(update(400) == ReachabilityAction::None);
+        CHECK(update(460) == ReachabilityAction::TestConnections);
+    }
     SECTION("an endpoint that pauses while no other is called raises a test, which succeeds")
     {
         CHECK(update(200) == ReachabilityAction::TestConnections);
