Log the attempts that a VM counts for hedges, retries and relayed requests

No line told how many attempts a route allows and how many a VM counts as used, so that a count that starts anew on each VM could not be told from a wrong count on one.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -246,6 +246,9 @@
         exchange->respond(encodeRelayAnswer(answer));
         return;
     }
+    FLAMINGO_LOG(Info, "relayed request accepted", { "request_id", request.m_id.value() },
+        { "attempts_allowed", std::to_string(request.m_route->m_maxAttempts) },
+        { "relays_in_flight", std::to_string(m_relaysInFlight) });
     ++m_relaysServed;
     ++m_relaysInFlight;
     // Destroyed with the handler, when the request is answered or abandoned.
--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -156,19 +156,24 @@
 {
     ++m_counters.m_calls;
     const AttemptNumber attempt = effect.m_attempt;
+    const ForwardExecution& execution = running->m_execution;
+    const ForwardPart& part = execution.m_parts.at(execution.m_calls.at(attempt.value()).m_part);
+    const std::string used = std::to_string(part.m_possibleRuns);
+    const std::string allowed = std::to_string(execution.m_request.m_route->m_maxAttempts);
     if (effect.m_hedge || effect.m_call.m_recentlyActiveConnection) {
         m_counters.m_hedges += effect.m_hedge ? 1 : 0;
         running->m_hedges += effect.m_hedge ? 1 : 0;
         FLAMINGO_LOG(Info, effect.m_hedge ? "hedge sent" : "retry sent",
             { "request_id", effect.m_call.m_request.value() }, { "attempt", std::to_string(attempt.value()) },
-            { "endpoint", effect.m_call.m_endpoint.value() },
-            { "age_ms", millisecondsText(monotonicNow() - running->m_execution.m_request.m_receivedAt) });
+            { "endpoint", effect.m_call.m_endpoint.value() }, { "attempts_used", used },
+            { "attempts_allowed", allowed },
+            { "age_ms", millisecondsText(monotonicNow() - execution.m_request.m_receivedAt) });
     }
-    const ForwardExecution& execution = running->m_execution;
-    if (execution.m_parts.at(execution.m_calls.at(attempt.value()).m_part).m_relay) {
+    if (part.m_relay) {
         ++m_counters.m_relayed;
         FLAMINGO_LOG(Info, "request relayed", { "request_id", effect.m_call.m_request.value() },
             { "attempt", std::to_string(attempt.value()) }, { "vm", effect.m_call.m_endpoint.value() },
+            { "attempts_used", used }, { "attempts_allowed", allowed },
             { "age_ms", millisecondsText(monotonicNow() - execution.m_request.m_receivedAt) });
     }
     const auto handler
