Failing tests: attempts over several VMs exceed those of the route

Guards against requests that run on more endpoints than their route allows. CutOffTier now plays cuts that come again, data centres that are cut one after the other, endpoints that work long and answers that a cut delays or loses. In the merging path two VMs in turn get 3 attempts of 2 for each shard.

--- a/src/libflamingo/forward/tests/cutofftest.cpp
+++ b/src/libflamingo/forward/tests/cutofftest.cpp
@@ -66,3 +66,40 @@
         });
     }
 }
+
+TEST_CASE("a request runs on no more endpoints than its route allows, whichever VMs work on it", "[forward]")
+{
+    CutOffTier::Load load;
+    load.m_cutFor = Milliseconds(1000);
+    load.m_cutEvery = Milliseconds(2000);
+    load.m_workTime = Milliseconds(360);
+
+    SECTION("requests that run long when the links are lost") { }
+    SECTION("the connections are reset") { load.m_cut = CutOffTier::Cut::Refuse; }
+    SECTION("the VM that serves a relayed request is cut off as well") { load.m_cutStagger = Milliseconds(400); }
+    SECTION("a route with a single attempt")
+    {
+        load.m_maxAttempts = 1;
+        load.m_cutStagger = Milliseconds(400);
+    }
+    SECTION("three attempts, and most VMs are cut off one after the other")
+    {
+        load.m_maxAttempts = 3;
+        load.m_cutVms = 14;
+        load.m_cutStagger = Milliseconds(300);
+    }
+    SECTION("a query over 20 shards")
+    {
+        load.m_shards = 20;
+        load.m_cutStagger = Milliseconds(400);
+    }
+    SECTION("a query over 20 shards, the connections are reset")
+    {
+        load.m_shards = 20;
+        load.m_cut = CutOffTier::Cut::Refuse;
+    }
+    playAll(load, [&load](const CutOffTier& tier) {
+        CHECK(tier.mostRunsOfOneService() <= static_cast<int>(load.m_maxAttempts));
+        CHECK(tier.longestAnswer() <= CutOffTier::timeout);
+    });
+}
--- a/src/libflamingo/forward/tests/cutofftier.h
+++ b/src/libflamingo/forward/tests/cutofftier.h
@@ -33,6 +33,11 @@
         int m_cutVms = 10; // the first ones; VMs are assigned to the data centres in turn
         bool m_cutDataCentre = false; // the VMs of the first data centre in place of the first m_cutVms
         Cut m_cut = Cut::Hang;
+        Milliseconds m_cutFor { 8000 }; // duration of each cut
+        Milliseconds m_cutEvery { 8000 }; // from the start of a cut to the start of the next one, for 8 s in all
+        Milliseconds m_cutStagger { 0 }; // the cut of each data centre's VMs starts later by this time
+        Milliseconds m_workTime { 20 }; // of an endpoint for a request
+        std::uint32_t m_maxAttempts = 2;
         int m_shards = 0; // 0 for a service without shards
         bool m_idempotent = true;
         double m_requestsPerSecond = 90.0;
@@ -74,10 +79,12 @@
         Route route = load.m_shards > 0 ? fixture.m_fanOut : fixture.m_single;
         route.m_idempotence = load.m_idempotent ? Idempotence::Idempotent : Idempotence::NonIdempotent;
         route.m_goal = goal;
+        route.m_timeout = timeout;
+        route.m_maxAttempts = load.m_maxAttempts;
         m_route = std::make_shared<const Route>(route);
     }
 
-    /** Plays 4 s with all links, 8 s with the cut and 4 s after it. */
+    /** Plays 4 s with all links, 8 s with one cut or several, and 4 s after them. */
     void play()
     {
         for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
@@ -128,6 +135,27 @@
         return most;
     }
 
+    /** Returns the largest number of endpoints of one service that ran the same request. */
+    int mostRunsOfOneService() const
+    {
+        int most = 0;
+        for (const Outcome& outcome : m_outcomes) {
+            for (const auto& [service, runs] : outcome.m_serviceRuns)
+                most = std::max(most, runs);
+        }
+        return most;
+    }
+
+    /** Returns the longest time from the arrival of a request to its answer; max() if one has no answer. */
+    MonotonicClock::duration longestAnswer() const
+    {
+        MonotonicClock::duration longest {};
+        for (const Outcome& outcome : m_outcomes)
+            longest = std::max(longest,
+                outcome.m_answered ? outcome.m_answeredAt - outcome.m_arrivedAt : MonotonicClock::duration::max());
+        return longest;
+    }
+
     /** Returns whether any VM that is not cut took itself for cut off. */
     bool anyFalseAlarm() const
     {
@@ -137,6 +165,7 @@
 
     static constexpr int dataCentres = 3;
     static constexpr Milliseconds goal { 250 };
+    static constexpr Milliseconds timeout { 1000 };
 
 private:
     struct Event {
@@ -171,7 +200,9 @@
         bool m_atCutVm = false;
         bool m_served = false;
         bool m_refused = false;
+        bool m_answered = false;
         int m_runs = 0;
+        std::map<std::string, int> m_serviceRuns {};
     };
 
     void at(MonotonicTime time, std::function<void()> action)
@@ -179,7 +210,26 @@
         m_events.push({ time, ++m_lastEvent, std::move(action) });
     }
 
-    bool isCutNow(std::size_t vm) const { return m_vms[vm].m_isCut && m_now >= cutStart() && m_now < cutEnd(); }
+    bool isCutNow(std::size_t vm) const { return cutUntil(vm, m_now) > m_now; }
+
+    /** Returns the end of the cut that the VM is in at the time; the time itself if it is in none. */
+    MonotonicTime cutUntil(std::size_t vm, MonotonicTime time) const
+    {
+        const MonotonicTime first = cutStart() + m_load.m_cutStagger * static_cast<int>(vm % dataCentres);
+        if (!m_vms[vm].m_isCut || time < first || time >= cutEnd())
+            return time;
+        const MonotonicTime start = first + ((time - first) / m_load.m_cutEvery) * m_load.m_cutEvery;
+        return std::max(time, std::min(start + m_load.m_cutFor, cutEnd()));
+    }
+
+    /** Returns when the first cut after the time starts that hits the VM; max() if none does. */
+    MonotonicTime nextCut(std::size_t vm, MonotonicTime time) const
+    {
+        MonotonicTime start = cutStart() + m_load.m_cutStagger * static_cast<int>(vm % dataCentres);
+        while (start <= time)
+            start += m_load.m_cutEvery;
+        return m_vms[vm].m_isCut && start < cutEnd() ? start : MonotonicTime::max();
+    }
 
     void tick(std::size_t index)
     {
@@ -229,6 +279,7 @@
         request.m_route = m_route;
         start(vm, std::move(request), [this, number](const ForwardAnswer& answer) {
             Outcome& outcome = m_outcomes[number];
+            outcome.m_answered = true;
             outcome.m_answeredAt = m_now;
             outcome.m_served = answer.m_code == ResultCode::Ok && answer.m_kind != ForwardAnswer::Kind::Error;
             outcome.m_refused = resultClass(answer.m_code) == ResultClass::NotRun;
@@ -282,20 +333,38 @@
         });
     }
 
-    void callEndpoint(const RunningPtr& running, const ForwardEffects::Send& send)
+    /** Lets the endpoint run the call; a cut before its answer delays the answer or loses the connection. */
+    void runCall(const RunningPtr& running, const ForwardEffects::Send& send, MonotonicTime until)
     {
-        if (!isCutNow(running->m_vm)) {
-            ++m_outcomes[running->m_outcome].m_runs;
-            EndpointReply success = ForwardFixture::success(send.m_call.m_endpoint.value(), std::string(16, 'x'));
-            reply(running, send.m_attempt, std::move(success), m_now + Milliseconds(20));
-            return;
+        Outcome& outcome = m_outcomes[running->m_outcome];
+        ++outcome.m_runs;
+        const std::string endpoint = send.m_call.m_endpoint.value();
+        ++outcome.m_serviceRuns[endpoint.substr(0, endpoint.size() - 1)];
+        const MonotonicTime answered = m_now + m_load.m_workTime;
+        const MonotonicTime cut = nextCut(running->m_vm, m_now);
+        EndpointReply lost;
+        if (cut < answered && m_load.m_cut == Cut::Refuse) {
+            lost.m_outcome = CallOutcome::ConnectionLost;
+            return reply(running, send.m_attempt, std::move(lost), std::min(cut, until));
+        }
+        const MonotonicTime arrived = cutUntil(running->m_vm, answered);
+        if (arrived >= until) {
+            lost.m_outcome = CallOutcome::TimedOut;
+            return reply(running, send.m_attempt, std::move(lost), until);
         }
+        reply(running, send.m_attempt, ForwardFixture::success(endpoint, std::string(16, 'x')), arrived);
+    }
+
+    void callEndpoint(const RunningPtr& running, const ForwardEffects::Send& send)
+    {
+        const MonotonicTime until = std::min(send.m_call.m_deadline, send.m_call.m_answerBy);
+        if (!isCutNow(running->m_vm))
+            return runCall(running, send, until);
         EndpointReply lost;
         const bool refused = m_load.m_cut == Cut::Refuse;
-        const bool newConnection = send.m_call.m_dedicatedConnection;
+        const bool newConnection = send.m_call.m_dedicatedConnection || send.m_call.m_recentlyActiveConnection;
         lost.m_outcome = refused || newConnection ? CallOutcome::NotSent : CallOutcome::TimedOut;
         const MonotonicTime connectTimeout = m_now + Milliseconds(500);
-        const MonotonicTime until = std::min(send.m_call.m_deadline, send.m_call.m_answerBy);
         reply(running, send.m_attempt, std::move(lost),
             refused             ? m_now + Milliseconds(1)
                 : newConnection ? std::min(connectTimeout, until)
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -203,6 +203,28 @@
     }
 }
 
+TEST_CASE("merging VMs together get no more attempts for a shard than the route allows", "[forward]")
+{
+    MergeFixture vm;
+    for (const std::uint32_t allowed : { 1U, 2U, 3U, 5U }) {
+        CAPTURE(allowed);
+        vm.m_fanOut.m_maxAttempts = allowed;
+        ForwardExecution execution = vm.execution(vm.m_fanOut);
+        std::vector<ForwardEffects::Send> sends = vm.start(execution).m_sends;
+        std::uint32_t granted = 0;
+        while (!sends.empty()) {
+            const ForwardEffects::Send call = sends.front();
+            ForwardRequest request;
+            Reason reason;
+            REQUIRE(decodeMergeCall(toRequest(call.m_call), request, reason));
+            granted += request.m_route->m_maxAttempts;
+            sends = vm.reply(execution, call, ForwardFixture::lost()).m_sends;
+        }
+        CHECK(granted >= 1);
+        CHECK(granted <= allowed);
+    }
+}
+
 TEST_CASE("a merging VM answers when the time given in the call has passed", "[forward]")
 {
     ForwardFixture vm(3);
