Count the attempts of a request over all VMs that work on it

Cause: attempts were counted by one part of one VM. A VM that took over started from zero, up to three in turn, as did the next one after a VM that was cut off itself; a second merging VM got one attempt although the first may have used all.

Now a part has an allowance. A call to another VM takes attempts from it (attemptallowance): all that are left, or all but one where a hedge stays possible. What the call proves unused returns: a refusal, a call that was not sent, or the count that a VM states when it returns a request. A VM that is lost may have used all it was granted. Calls that wait for a connection are given up first, so that their attempts are free. Of a query only shards without an answer are handed over, and those that have answered are kept. A request without attempts left fails at once; its caller can send it again.

A call that does not state them gets one attempt, and a VM that does not count gets a final failure instead of the request back.

Tests replaced, as strict: a merging VM after a lost one got an attempt, which was the fault; it now gets only one that was kept back. Two tests used a lost merging VM to show another decision and now use an unreachable one, or check the failure.

--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -138,6 +138,8 @@
 
 void ForwardRunner::carryOut(const RunningPtr& running, ForwardEffects effects)
 {
+    for (const AttemptNumber attempt : effects.m_cancelUnsent)
+        cancelUnsent(*running, attempt);
     for (ForwardEffects::Send& call : effects.m_sends)
         send(running, std::move(call));
     if (effects.m_answer)
@@ -158,8 +160,8 @@
     const AttemptNumber attempt = effect.m_attempt;
     const ForwardExecution& execution = running->m_execution;
     const ForwardPart& part = execution.m_parts.at(execution.m_calls.at(attempt.value()).m_part);
-    const std::string used = std::to_string(part.m_possibleRuns);
-    const std::string allowed = std::to_string(execution.m_request.m_route->m_maxAttempts);
+    const std::string used = std::to_string(part.m_attempts.m_used);
+    const std::string allowed = std::to_string(part.m_attempts.m_allowed);
     if (effect.m_hedge || effect.m_call.m_recentlyActiveConnection) {
         m_counters.m_hedges += effect.m_hedge ? 1 : 0;
         running->m_hedges += effect.m_hedge ? 1 : 0;
@@ -182,6 +184,13 @@
     running->m_calls[attempt] = { &client, client.start(std::move(effect.m_call), handler) };
 }
 
+void ForwardRunner::cancelUnsent(const Running& running, AttemptNumber attempt)
+{
+    const auto call = running.m_calls.find(attempt);
+    if (call != running.m_calls.end())
+        call->second.first->cancelUnsent(call->second.second);
+}
+
 void ForwardRunner::handleReply(const RunningPtr& running, AttemptNumber attempt, EndpointReply reply)
 {
     running->m_calls.erase(attempt);
--- a/src/libflamingo/daemon/forwardrunner.h
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -78,6 +78,7 @@
 
     void carryOut(const RunningPtr& running, ForwardEffects effects);
     void send(const RunningPtr& running, ForwardEffects::Send effect);
+    void cancelUnsent(const Running& running, AttemptNumber attempt);
     void handleReply(const RunningPtr& running, AttemptNumber attempt, EndpointReply reply);
     void logFailedCall(const Running& running, AttemptNumber attempt, const EndpointReply& reply) const;
     void setTimer(const RunningPtr& running, MonotonicTime at);
--- a/src/libflamingo/endpoint/endpointcall.h
+++ b/src/libflamingo/endpoint/endpointcall.h
@@ -26,7 +26,7 @@
     std::string m_kind;
     std::string m_method = "POST";
     std::string m_host; // Host header from the caller; only for forwarded requests
-    HttpFields m_fields; // HTTP headers of a forwarded request
+    HttpFields m_fields; // HTTP headers of a forwarded request, or of a call to another VM
     std::string m_body;
     MonotonicTime m_deadline;
     // Time at which the call times out if this is before the deadline. The endpoint may still work until the deadline.
@@ -64,6 +64,8 @@
     // Rate that the endpoint accepts from all VMs together; unset if the answer names none.
     std::optional<RequestsPerSecond> m_rateLimit;
     bool m_rateLimitMalformed = false; // the answer names a limit that cannot be read
+    // From a VM that returns a request: how many of the attempts granted to it ran or may have run.
+    std::optional<std::uint32_t> m_usedAttempts;
     bool m_wrongEndpoint = false; // another endpoint answered at the address; it did not run the request
     std::string m_receipt; // receipt header, passed on so that the caller can recognise the endpoint's answer
     HttpFields m_fields; // HTTP headers that a forwarded answer passes on
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -119,6 +119,13 @@
         abandon(found->second, failure(CallOutcome::Cancelled, "cancelled"));
     }
 
+    void cancelUnsent(CallHandle handle)
+    {
+        const auto found = m_calls.find(handle);
+        if (found != m_calls.end() && !isSent(found->second))
+            abandon(found->second, failure(CallOutcome::NotSent, "cancelled before it was sent"));
+    }
+
     void setLimits(const EndpointId& endpoint, const EndpointLimits& limits)
     {
         ConnectionPool& pool = poolFor(endpoint);
@@ -329,13 +336,18 @@
             m_pools.erase(EndpointId(pool.m_endpoint));
     }
 
+    static bool isSent(const RunningCall& call)
+    {
+        return call.m_connection && call.m_connection->state() != HttpConnection::State::Connecting;
+    }
+
     /** Ends a call without an answer. Its connection is closed if the request was sent. */
     void abandon(RunningCall& call, EndpointReply reply)
     {
         ConnectionPool* pool = call.m_pool;
         HttpConnection* connection = call.m_connection;
         const CallHandle handle = call.m_handle;
-        const bool sent = connection && connection->state() != HttpConnection::State::Connecting;
+        const bool sent = isSent(call);
         if (!sent)
             reply.m_outcome = CallOutcome::NotSent;
         post(call, std::move(reply));
@@ -373,7 +385,7 @@
     void expire(RunningCall& call)
     {
         ConnectionPool* pool = call.m_pool;
-        const bool sent = call.m_connection && call.m_connection->state() != HttpConnection::State::Connecting;
+        const bool sent = isSent(call);
         const MonotonicTime sentAt = call.m_sentAt;
         if (!sent) {
             abandon(call, failure(CallOutcome::NotSent, "the deadline passed while waiting for a connection"));
@@ -564,6 +576,8 @@
 
 void EndpointClient::cancel(CallHandle handle) { m_impl->cancel(handle); }
 
+void EndpointClient::cancelUnsent(CallHandle handle) { m_impl->cancelUnsent(handle); }
+
 void EndpointClient::setLimits(const EndpointId& endpoint, const EndpointLimits& limits)
 {
     m_impl->setLimits(endpoint, limits);
--- a/src/libflamingo/endpoint/endpointclient.h
+++ b/src/libflamingo/endpoint/endpointclient.h
@@ -50,6 +50,9 @@
      */
     void cancel(CallHandle handle);
 
+    /** Ends a call with the outcome NotSent if no byte of its request has been sent; otherwise does nothing. */
+    void cancelUnsent(CallHandle handle);
+
     /** Sets the limits of an endpoint and closes idle connections above the new limit. No precondition. */
     void setLimits(const EndpointId& endpoint, const EndpointLimits& limits);
 
--- a/src/libflamingo/endpoint/tests/endpointclient.cpp
+++ b/src/libflamingo/endpoint/tests/endpointclient.cpp
@@ -184,6 +184,25 @@
         }
     }
 
+    // Guards against giving up an attempt that may have run, or keeping one that waits for a connection.
+    WHEN("calls are given up if they have not been sent")
+    {
+        fixture.setMaxConnections(1);
+        const CallHandle sent = fixture.start(fixture.call("sent"));
+        fixture.runUntil([&] { return server.m_requests.size() == 1; });
+        const CallHandle waiting = fixture.start(fixture.call("waiting"));
+        fixture.m_client.cancelUnsent(waiting);
+        fixture.m_client.cancelUnsent(sent);
+        fixture.awaitReplies(2);
+        THEN("only the one without a connection ends, and the other one is answered")
+        {
+            CHECK(fixture.m_replies[0].m_outcome == CallOutcome::NotSent);
+            CHECK(fixture.m_replies[1].m_outcome == CallOutcome::Answered);
+            CHECK(fixture.m_replies[1].m_request == RequestId("sent"));
+            CHECK(server.m_requests.size() == 1);
+        }
+    }
+
     // Guards against queries that have to wait for a connection to be opened.
     WHEN("connections are opened before calls need them")
     {
--- a/src/libflamingo/forward/forwardanswer.h
+++ b/src/libflamingo/forward/forwardanswer.h
@@ -33,6 +33,7 @@
     bool m_moreFollows = false;
     Milliseconds m_retryAfter { 100 }; // sent with a refusal
     bool m_cutOff = false; // the VM that served a relayed request lost its links; another VM may serve it
+    std::uint32_t m_usedAttempts = 0; // most attempts for one shard that ran or may have run
     std::uint32_t m_calls = 0; // number of calls, hedges and retries included
 };
 
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -2,6 +2,7 @@
 
 #include "forward/forwardfinish.h"
 #include "forward/forwardstart.h"
+#include "forward/handover.h"
 #include "forward/mergeplan.h"
 #include "forward/mergewire.h"
 #include "forward/placement.h"
@@ -17,10 +18,6 @@
 // Routed services have no snapshots, so all executions that wait for an endpoint of one use this empty key.
 const ShardHolding wholeService {};
 
-// Calls to other VMs to serve a request that may have been carried out. A VM that has just been cut off itself uses
-// one.
-constexpr std::uint32_t maxRelayAttempts = 3;
-
 /** Purpose of the next call of a part. */
 enum class CallKind {
     First,
@@ -66,7 +63,7 @@
         std::optional<ForwardAnswer> relayedAnswer;
         if (reply.m_outcome == CallOutcome::Answered && !reply.m_notRun) {
             if (part.m_relay)
-                relayedAnswer = decodeRelayAnswer(reply.m_body);
+                relayedAnswer = readRelayedAnswer(reply);
             else if (!part.m_group.empty())
                 mergeReply = decodeMergeReply(reply.m_body);
         }
@@ -83,12 +80,11 @@
         if (m_execution.m_finished || part.m_state != ForwardPart::State::Open)
             return;
         if (verdict != CallVerdict::Answered) {
-            handleFailure(call.m_part, std::move(reply));
+            handleFailure(call, std::move(reply));
             return;
         }
         if (relayedAnswer) {
-            m_execution.m_relayedAnswer = std::move(relayedAnswer);
-            closePart(part, ForwardPart::State::Answered);
+            handleRelayedAnswer(part, call.m_attempt.m_endpoint, std::move(*relayedAnswer));
             return;
         }
         if (mergeReply) {
@@ -117,11 +113,9 @@
     {
         if (m_execution.m_finished || m_execution.m_pausedUntil)
             return;
-        if (mustReturnToCallingVm()) {
-            m_execution.m_cutOff = true;
-            return;
-        }
-        relayIfCutOff();
+        if (m_execution.m_handOverAt && m_now >= *m_execution.m_handOverAt)
+            handOver();
+        prepareHandOver();
         for (std::size_t index = 0; index < m_execution.m_parts.size(); ++index) {
             ForwardPart& part = m_execution.m_parts[index];
             if (part.m_state != ForwardPart::State::Open || part.m_pendingMerger)
@@ -175,12 +169,6 @@
             recordNoAnswer(m_state.m_reachability, endpoint, m_now);
     }
 
-    // The calling VM asks another one at once, unless a call that may run only once can still be answered.
-    bool mustReturnToCallingVm() const
-    {
-        return m_state.m_reachability.m_cutOff && m_execution.m_request.m_relayed && (isIdempotent() || !mayHaveRun());
-    }
-
     bool mayHaveRun() const
     {
         return std::any_of(m_execution.m_parts.begin(), m_execution.m_parts.end(),
@@ -193,35 +181,98 @@
             [](const ForwardPart& part) { return part.m_relay; });
     }
 
-    // Lets another VM serve the request if this VM cannot reach the endpoints. A request that may run only once is
-    // relayed only if no call of it may have run.
-    void relayIfCutOff()
+    // Returns whether another VM must take over: one that this VM chooses, or the one that has relayed the request.
+    // A call that may run only once and has perhaps been sent can still be answered.
+    bool mustHandOver() const
+    {
+        const ForwardRequest& request = m_execution.m_request;
+        const bool open = std::any_of(m_execution.m_parts.begin(), m_execution.m_parts.end(),
+            [](const ForwardPart& part) { return part.m_state == ForwardPart::State::Open && !part.callsVm(); });
+        return m_state.m_reachability.m_cutOff && open && !isRelayed()
+            && (request.m_relayed || mayRelay(m_state, request))
+            && (isIdempotent() || !mayHaveRun() || !m_execution.m_unsentCallsCancelled);
+    }
+
+    void prepareHandOver()
     {
-        if (!mayRelay(m_state, m_execution.m_request) || isRelayed())
+        if (m_execution.m_handOverAt || !mustHandOver())
             return;
-        if (mayHaveRun() && !isIdempotent())
+        m_execution.m_handOverAt = m_now;
+        m_execution.m_unsentCallsCancelled = true;
+        for (std::size_t number = 0; number < m_execution.m_calls.size(); ++number) {
+            const ForwardCall& call = m_execution.m_calls[number];
+            if (call.m_attempt.m_open && !m_execution.m_parts[call.m_part].callsVm())
+                m_effects.m_cancelUnsent.emplace_back(static_cast<std::uint32_t>(number));
+        }
+    }
+
+    void handOver()
+    {
+        m_execution.m_handOverAt.reset();
+        if (!m_state.m_reachability.m_cutOff) {
+            for (ForwardPart& part : m_execution.m_parts)
+                part.m_retryAt = part.m_state == ForwardPart::State::Open ? m_now : part.m_retryAt;
             return;
-        for (ForwardPart& part : m_execution.m_parts) {
-            part.m_retryAt = MonotonicTime::max();
-            part.m_hedgeAt = MonotonicTime::max();
-            stopWaitingFor(part);
         }
-        m_execution.m_parts.push_back(relayPart());
+        if (!isIdempotent() && mayHaveRun())
+            return;
+        if (m_execution.m_request.m_relayed) {
+            m_execution.m_cutOff = true;
+            return;
+        }
+        HandOver plan = planHandOver(m_execution);
+        for (const std::size_t index : plan.m_exhausted)
+            closePart(m_execution.m_parts[index], ForwardPart::State::Lost);
+        for (const std::size_t index : plan.m_handedOver)
+            stopCalling(m_execution.m_parts[index], ForwardPart::State::HandedOver);
+        if (!plan.m_relay)
+            return;
+        stopCalling(m_execution.m_parts.front(), m_execution.m_parts.front().m_state);
+        m_execution.m_parts.push_back(std::move(*plan.m_relay));
         trySend(m_execution.m_parts.size() - 1, CallKind::First);
     }
 
     bool isIdempotent() const { return m_route.m_idempotence == Idempotence::Idempotent; }
 
-    void closePart(ForwardPart& part, ForwardPart::State state)
+    void stopCalling(ForwardPart& part, ForwardPart::State state)
     {
         part.m_state = state;
         part.m_hedgeAt = MonotonicTime::max();
         part.m_retryAt = MonotonicTime::max();
         stopWaitingFor(part);
+    }
+
+    void closePart(ForwardPart& part, ForwardPart::State state)
+    {
+        stopCalling(part, state);
         part.m_pendingMerger.reset();
         m_execution.m_lostShards += part.shardCount() - static_cast<std::uint32_t>(part.m_receipts.size());
     }
 
+    // Reads the answer of a VM that served the request; returns nothing if it is malformed. A VM that could not read
+    // the call, as one of another version may, has not run it.
+    std::optional<ForwardAnswer> readRelayedAnswer(EndpointReply& reply) const
+    {
+        auto answer = decodeRelayAnswer(reply.m_body);
+        if (!answer || answer->m_kind != ForwardAnswer::Kind::Error
+            || resultClass(answer->m_code) != ResultClass::BadInput)
+            return answer;
+        reply.m_notRun = true;
+        return std::nullopt;
+    }
+
+    void handleRelayedAnswer(ForwardPart& part, EndpointIndex vm, ForwardAnswer answer)
+    {
+        if (part.m_group.empty()) {
+            m_execution.m_relayedAnswer = std::move(answer);
+            closePart(part, ForwardPart::State::Answered);
+        } else if (answer.m_kind == ForwardAnswer::Kind::Merged) {
+            handleMergeReply(part, vm, { std::move(answer.m_receipts), std::move(answer.m_body), false });
+        } else {
+            closePart(part, ForwardPart::State::Lost);
+        }
+    }
+
     void handleMergeReply(ForwardPart& part, EndpointIndex merger, MergeReply reply)
     {
         const auto addedShards = static_cast<std::uint32_t>(reply.m_receipts.size());
@@ -268,7 +319,8 @@
             EndpointCall call;
             writeMergeResumeCall(resumeCall, call);
             call.m_answerBy = mergerReplyDeadline();
-            dispatch(index, *part.m_pendingMerger, std::move(call), CallKind::First);
+            constexpr std::uint32_t noFurtherAttempts = 0;
+            dispatch(index, *part.m_pendingMerger, std::move(call), noFurtherAttempts, CallKind::First);
         }
     }
 
@@ -278,8 +330,9 @@
             stopWaiting(routingOf(part), part.m_service, wholeService, m_execution.m_id);
     }
 
-    void handleFailure(std::size_t index, EndpointReply reply)
+    void handleFailure(const ForwardCall& call, EndpointReply reply)
     {
+        const std::size_t index = call.m_part;
         ForwardPart& part = m_execution.m_parts[index];
         if (part.m_pendingMerger) {
             // Another merging VM would return shards that have already been counted.
@@ -292,6 +345,7 @@
             return;
         }
         const bool notRun = provesNotRun(reply) || reply.m_wrongEndpoint;
+        returnAttempts(part.m_attempts, unusedAttempts(call.m_takenAttempts, notRun, reply.m_usedAttempts));
         if (notRun)
             --part.m_possibleRuns;
         if (notRun)
@@ -311,21 +365,16 @@
         }
         if (m_execution.m_pausedUntil)
             return;
-        if (mustReturnToCallingVm()) {
-            m_execution.m_cutOff = true;
-            return;
-        }
-        relayIfCutOff();
+        prepareHandOver();
         trySend(index, CallKind::Retry);
     }
 
     void trySend(std::size_t index, CallKind kind)
     {
         ForwardPart& part = m_execution.m_parts[index];
-        if (!part.m_relay && isRelayed())
-            return; // the other VM has taken over
-        const std::uint32_t maxAttempts = part.m_relay ? maxRelayAttempts : std::max(1U, m_route.m_maxAttempts);
-        if (part.m_possibleRuns >= maxAttempts || (kind == CallKind::Hedge && !isIdempotent())) {
+        if (!part.m_relay && (m_execution.m_handOverAt || isRelayed()))
+            return; // another VM takes over
+        if (attemptsLeft(part.m_attempts) == 0 || (kind == CallKind::Hedge && !isIdempotent())) {
             giveUp(part, kind);
             return;
         }
@@ -335,7 +384,7 @@
             return;
         }
         // A call counts as extra load only if an earlier call of this part has reached an endpoint.
-        const bool extra = part.m_possibleRuns + (part.callsVm() ? 0 : part.m_refusals) > 0;
+        const bool extra = part.m_attempts.m_used + (part.callsVm() ? 0 : part.m_refusals) > 0;
         if (extra && !trySpendExtraLoad(part, kind)) {
             giveUp(part, kind);
             return;
@@ -429,17 +478,17 @@
         part.m_triedEndpoints.push_back(endpoint);
         ++part.m_possibleRuns;
         part.m_retryAt = MonotonicTime::max();
-        // Merging VMs send their own hedges. A second merging VM would exceed the attempts allowed for each shard.
-        part.m_hedgeAt = isIdempotent() && !part.callsVm() && part.m_possibleRuns < m_route.m_maxAttempts
+        const std::uint32_t attempts = part.callsVm() ? attemptsToGrant(part.m_attempts) : 1U;
+        takeAttempts(part.m_attempts, attempts);
+        // Other VMs send their own hedges.
+        part.m_hedgeAt = isIdempotent() && !part.callsVm() && attemptsLeft(part.m_attempts) > 0
             ? m_now + forwardHedgeDelay(m_state, m_route)
             : MonotonicTime::max();
         const ForwardRequest& request = m_execution.m_request;
         EndpointCall call;
         if (part.m_relay) {
-            // A request that may run only once is given all its time, since it cannot be sent to another VM afterwards.
-            if (isIdempotent() && m_route.m_goal.count() > 0)
-                call.m_answerBy = mergerReplyDeadline();
-            writeRelayCall(request, goalLeftForMerger(), call);
+            call.m_answerBy = relayReplyDeadline(part);
+            writeRelayCall(request, relayRoute(m_execution, part, attempts), goalLeftForMerger(), call);
         } else if (part.m_group.empty()) {
             call.m_method = request.m_method;
             call.m_host = request.m_host;
@@ -448,17 +497,18 @@
             call.m_body = request.m_body;
         } else {
             call.m_answerBy = mergerReplyDeadline();
-            writeMergeCall(request, part.m_group, attemptsLeft(part), goalLeftForMerger(), call);
+            writeMergeCall(request, part.m_group, attempts, goalLeftForMerger(), call);
         }
-        dispatch(index, endpoint, std::move(call), kind);
+        dispatch(index, endpoint, std::move(call), attempts, kind);
     }
 
-    void dispatch(std::size_t index, EndpointIndex endpoint, EndpointCall call, CallKind kind)
+    void dispatch(
+        std::size_t index, EndpointIndex endpoint, EndpointCall call, std::uint32_t takenAttempts, CallKind kind)
     {
         ForwardPart& part = m_execution.m_parts[index];
         const AttemptNumber number(static_cast<std::uint32_t>(m_execution.m_calls.size()));
         m_execution.m_calls.push_back(
-            { index, beginAttempt(routingOf(part), endpoint, false, m_now), kind == CallKind::Hedge });
+            { index, beginAttempt(routingOf(part), endpoint, false, m_now), takenAttempts, kind == CallKind::Hedge });
         ++part.m_openCalls;
         setCallAddress(routingOf(part), endpoint, call);
         call.m_request = m_execution.m_request.m_id;
@@ -478,11 +528,16 @@
         return std::max(m_execution.m_goalAt, m_now + m_route.m_goal) + m_route.m_goal;
     }
 
-    // Returns the attempts for each shard. A merging VM that was lost may already have called one endpoint of each.
-    std::uint32_t attemptsLeft(const ForwardPart& part) const
+    // Returns when a call to a VM that serves the request times out. While attempts are left for a further VM, that is
+    // soon after the goal. Otherwise the caller keeps half of its time for a request of its own to another VM. A
+    // request that may run only once is given all its time, since the caller cannot send it again.
+    MonotonicTime relayReplyDeadline(const ForwardPart& part) const
     {
-        const std::uint32_t allowed = std::max(1U, m_route.m_maxAttempts);
-        return part.m_possibleRuns > 1 ? 1U : allowed;
+        if (!isIdempotent() || m_route.m_goal.count() == 0)
+            return MonotonicTime::max();
+        const MonotonicTime afterGoal = mergerReplyDeadline();
+        return attemptsLeft(part.m_attempts) > 0 ? afterGoal
+                                                 : std::max(afterGoal, m_now + (m_execution.m_deadline - m_now) / 2);
     }
 
     Milliseconds goalLeftForMerger() const
@@ -509,7 +564,8 @@
 
     MonotonicTime nextTimerAt() const
     {
-        MonotonicTime next = m_execution.m_deadline;
+        MonotonicTime next
+            = std::min(m_execution.m_deadline, m_execution.m_handOverAt.value_or(m_execution.m_deadline));
         if (m_now < m_execution.m_goalAt)
             next = std::min(next, m_execution.m_goalAt);
         for (const ForwardPart& part : m_execution.m_parts)
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endpoint/endpointcall.h"
+#include "forward/attemptallowance.h"
 #include "forward/forwardanswer.h"
 #include "forward/forwardrequest.h"
 #include "forward/forwardstate.h"
@@ -22,15 +23,17 @@
     enum class State {
         Open,
         Answered,
+        HandedOver, // another VM calls the shard
         Lost, // failed, no further attempt will be made
     };
 
     ServiceName m_service; // service of the endpoints, or name of the group (see mergeGroupName())
-    std::vector<ServiceName> m_group; // shards requested from a merging VM; empty for a single service
-    bool m_relay = false; // another VM serves the whole request
+    std::vector<ServiceName> m_group; // shards requested from another VM; empty for a single service
+    bool m_relay = false; // another VM serves what this VM cannot, since it has lost its links to the endpoints
     bool m_otherVm = false; // the group is requested from a VM that does not own it, since no owner takes the call
     State m_state = State::Open;
     std::uint32_t m_openCalls = 0;
+    AttemptAllowance m_attempts; // for each shard of the part
     std::uint32_t m_possibleRuns = 0; // calls that ran or may have run
     std::uint32_t m_refusals = 0; // calls that an endpoint refused without running them
     std::uint32_t m_unsentCalls = 0; // calls that never left this VM
@@ -47,18 +50,14 @@
 
     bool callsVm() const { return m_relay || !m_group.empty(); }
 
-    std::uint32_t shardCount() const
-    {
-        if (m_relay)
-            return 0;
-        return m_group.empty() ? 1U : static_cast<std::uint32_t>(m_group.size());
-    }
+    std::uint32_t shardCount() const { return m_group.empty() ? 1U : static_cast<std::uint32_t>(m_group.size()); }
 };
 
 /** One call of an execution to an endpoint or a merging VM. */
 struct ForwardCall {
     std::size_t m_part = 0; // index in ForwardExecution::m_parts
     Attempt m_attempt;
+    std::uint32_t m_takenAttempts = 0; // one, or those granted to the VM that is called
     bool m_hedge = false;
 };
 
@@ -73,8 +72,12 @@
     std::uint32_t m_shardCount = 0;
     std::uint32_t m_answeredShards = 0;
     std::uint32_t m_lostShards = 0;
+    // When to let another VM take over, since this VM has lost its links to the endpoints. No endpoint is called until
+    // then. Calls without a connection are given up meanwhile, which frees their attempts.
+    std::optional<MonotonicTime> m_handOverAt;
+    bool m_unsentCallsCancelled = false;
     bool m_cutOff = false; // a relayed request that this VM returns, since it has lost its links to the endpoints
-    std::optional<ForwardAnswer> m_relayedAnswer; // answer of the VM that served the request
+    std::optional<ForwardAnswer> m_relayedAnswer; // answer of the VM that served a request without shards
     // Set on a merging VM after an incomplete answer: the execution can be resumed until this time.
     std::optional<MonotonicTime> m_pausedUntil;
     bool m_finished = false;
@@ -89,6 +92,7 @@
         bool m_toVm = false; // goes to another VM, not to an endpoint
     };
 
+    std::vector<AttemptNumber> m_cancelUnsent; // calls to give up if nothing of them has been sent
     std::vector<Send> m_sends;
     // At most one answer per execution. After an answer that sets m_moreFollows, each resumeForward() gives one more.
     std::optional<ForwardAnswer> m_answer;
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -19,7 +19,10 @@
     answer.m_shardCount = execution.m_shardCount;
     answer.m_missingShards = answer.m_shardCount - execution.m_answeredShards;
     answer.m_calls = static_cast<std::uint32_t>(execution.m_calls.size());
-    answer.m_cutOff = execution.m_cutOff;
+    // A VM that does not count attempts over all VMs would let the next one start from zero.
+    answer.m_cutOff = execution.m_cutOff && execution.m_request.m_attemptsGranted;
+    for (const ForwardPart& part : execution.m_parts)
+        answer.m_usedAttempts = std::max(answer.m_usedAttempts, part.m_attempts.m_used);
     return answer;
 }
 
@@ -84,14 +87,6 @@
     return answer;
 }
 
-std::uint32_t minAnsweredShards(const ForwardExecution& execution)
-{
-    const double exact = execution.m_request.m_route->m_minAnsweredShare * double(execution.m_shardCount);
-    // Prevents a product such as 0.89 * 100 from being rounded up to 90 because of floating-point errors.
-    constexpr double tolerance = 1e-9;
-    return std::max(1U, static_cast<std::uint32_t>(std::ceil(exact - tolerance)));
-}
-
 std::optional<ForwardAnswer> decideFanOut(const ForwardExecution& execution, MonotonicTime now)
 {
     const std::uint32_t shards = execution.m_shardCount;
@@ -128,21 +123,7 @@
     return std::nullopt;
 }
 
-std::optional<ForwardAnswer> ownAnswer(const ForwardExecution& execution, MonotonicTime now)
-{
-    const ForwardPart& part = execution.m_parts.front();
-    if (execution.m_request.m_route->m_shards.empty())
-        return part.m_state == ForwardPart::State::Answered && part.m_reply
-            ? std::optional(passedAnswer(execution, *part.m_reply))
-            : std::nullopt;
-    const bool complete = execution.m_answeredShards == execution.m_shardCount;
-    if (execution.m_shardCount > 0 && execution.m_answeredShards >= minAnsweredShards(execution)
-        && (complete || now >= execution.m_goalAt))
-        return mergedAnswer(execution);
-    return std::nullopt;
-}
-
-/** Decides on a request that another VM serves, perhaps after calls of this VM that may still be answered. */
+/** Decides on a request without shards that another VM serves, perhaps after calls that may still be answered. */
 std::optional<ForwardAnswer> decideRelayed(
     const ForwardExecution& execution, const ForwardPart& relay, MonotonicTime now)
 {
@@ -152,8 +133,9 @@
         answer.m_calls = static_cast<std::uint32_t>(execution.m_calls.size());
         return answer;
     }
-    if (auto answer = ownAnswer(execution, now))
-        return answer;
+    const ForwardPart& own = execution.m_parts.front();
+    if (!own.m_relay && own.m_state == ForwardPart::State::Answered)
+        return passedAnswer(execution, *own.m_reply);
     if (relay.m_state == ForwardPart::State::Lost)
         return failureAnswer(execution, "this VM cannot reach the endpoints, and no other VM served the request");
     if (now >= execution.m_deadline)
@@ -163,6 +145,14 @@
 
 } // namespace
 
+std::uint32_t minAnsweredShards(const ForwardExecution& execution)
+{
+    const double exact = execution.m_request.m_route->m_minAnsweredShare * double(execution.m_shardCount);
+    // Prevents a product such as 0.89 * 100 from being rounded up to 90 because of floating-point errors.
+    constexpr double tolerance = 1e-9;
+    return std::max(1U, static_cast<std::uint32_t>(std::ceil(exact - tolerance)));
+}
+
 CallVerdict mergeVerdict(const EndpointReply& reply, bool wellFormed)
 {
     if (reply.m_outcome != CallOutcome::Answered)
@@ -195,13 +185,13 @@
 {
     if (execution.m_cutOff)
         return failureAnswer(execution, "this VM has lost its links to the endpoints");
+    if (!execution.m_request.m_route->m_shards.empty())
+        return decideFanOut(execution, now);
     const auto relay = std::find_if(
         execution.m_parts.begin(), execution.m_parts.end(), [](const ForwardPart& part) { return part.m_relay; });
     if (relay != execution.m_parts.end())
         return decideRelayed(execution, *relay, now);
-    if (execution.m_request.m_route->m_shards.empty())
-        return decideSingle(execution, now);
-    return decideFanOut(execution, now);
+    return decideSingle(execution, now);
 }
 
 } // namespace flamingo
--- a/src/libflamingo/forward/forwardrequest.h
+++ b/src/libflamingo/forward/forwardrequest.h
@@ -24,6 +24,7 @@
     // Set on a merging VM: after this time it answers with the shards it has by then.
     std::optional<Milliseconds> m_partialAnswerAfter;
     bool m_relayed = false; // comes from another VM, which cannot reach the endpoints
+    bool m_attemptsGranted = false; // the VM that relayed the request counts attempts over all VMs
     std::optional<Milliseconds> m_goalLeft; // of a relayed request, until the calling VM must answer
     RoutePtr m_route; // fixed for the whole execution
     ConfigurationVersion m_version; // of the configuration that contains the route
--- a/src/libflamingo/forward/forwardstart.cpp
+++ b/src/libflamingo/forward/forwardstart.cpp
@@ -1,7 +1,7 @@
 #include "forward/forwardstart.h"
 
+#include "forward/handover.h"
 #include "forward/mergeplan.h"
-#include "forward/relayplan.h"
 
 #include <algorithm>
 #include <random>
@@ -30,6 +30,7 @@
 {
     execution.m_parts.emplace_back();
     execution.m_parts.back().m_service = service;
+    execution.m_parts.back().m_attempts.m_allowed = std::max(1U, execution.m_request.m_route->m_maxAttempts);
 }
 
 } // namespace
@@ -64,7 +65,7 @@
 {
     const Route& route = *execution.m_request.m_route;
     if (mayRelay(state, execution.m_request)) {
-        execution.m_parts.push_back(relayPart());
+        execution.m_parts.push_back(relayPart(route));
         return;
     }
     if (route.m_shards.empty())
@@ -88,12 +89,4 @@
         && !state.m_relays.m_table.m_positions.empty();
 }
 
-ForwardPart relayPart()
-{
-    ForwardPart part;
-    part.m_service = relayServiceName();
-    part.m_relay = true;
-    return part;
-}
-
 } // namespace flamingo
--- a/src/libflamingo/forward/forwardstart.h
+++ b/src/libflamingo/forward/forwardstart.h
@@ -18,7 +18,4 @@
 /** Returns whether another VM should serve the request. A request is relayed once; merging VMs are chosen anyway. */
 bool mayRelay(const ForwardState& state, const ForwardRequest& request);
 
-/** Returns a part for a VM that serves the whole request. */
-ForwardPart relayPart();
-
 } // namespace flamingo
--- a/src/libflamingo/forward/mergewire.cpp
+++ b/src/libflamingo/forward/mergewire.cpp
@@ -35,8 +35,10 @@
     std::string header = "POST ";
     header.append(call.m_path).append(" HTTP/1.1\r\nHost: ").append(call.m_address).append("\r\n");
     header.append("Content-Length: ").append(std::to_string(call.m_body.size())).append("\r\n");
-    header.append(detail::deadlineField).append(": ").append(std::to_string(remaining.count())).append("\r\n\r\n");
-    return header;
+    header.append(detail::deadlineField).append(": ").append(std::to_string(remaining.count())).append("\r\n");
+    for (const HttpField& field : call.m_fields)
+        header.append(field.m_name).append(": ").append(field.m_value).append("\r\n");
+    return header.append("\r\n");
 }
 
 void readField(EndpointReply& reply, std::string_view name, std::string_view value)
@@ -45,6 +47,8 @@
         reply.m_notRun = true;
     else if (name == detail::retryAfterField)
         reply.m_retryAfter = detail::readMilliseconds(value);
+    else if (name == detail::usedAttemptsField)
+        reply.m_usedAttempts = detail::readAttempts(value);
 }
 
 // Precondition: the JSON is an array of callFieldCount values. Throws an exception for a value of a wrong type.
--- a/src/libflamingo/forward/relaywire.cpp
+++ b/src/libflamingo/forward/relaywire.cpp
@@ -110,7 +110,7 @@
 
 bool isRelayCall(const HttpRequest& http) { return http.m_target == detail::relayPath; }
 
-void writeRelayCall(const ForwardRequest& request, Milliseconds goalLeft, EndpointCall& call)
+void writeRelayCall(const ForwardRequest& request, const Route& route, Milliseconds goalLeft, EndpointCall& call)
 {
     CborWriter writer;
     writer.array(callFieldCount);
@@ -120,10 +120,11 @@
     writer.text(request.m_target);
     writeFields(writer, request.m_fields);
     writer.bytes(request.m_body);
-    writeRoute(writer, *request.m_route);
+    writeRoute(writer, route);
     writer.unsignedInteger(request.m_version.value());
     writer.unsignedInteger(toUnsigned(goalLeft));
     call.m_path = detail::relayPath;
+    call.m_fields.push_back({ detail::grantedAttemptsField, std::to_string(route.m_maxAttempts) });
     call.m_body = writer.take();
 }
 
@@ -140,7 +141,11 @@
         request.m_target = json[3].get<std::string>();
         request.m_fields = readFields(json[4]);
         request.m_body = readBytes(json[5]);
-        request.m_route = std::make_shared<const Route>(readRoute(json));
+        Route route = readRoute(json);
+        const auto granted = detail::readAttempts(findField(http.m_fields, detail::grantedAttemptsField));
+        request.m_attemptsGranted = granted.has_value();
+        route.m_maxAttempts = std::min(std::max(1U, route.m_maxAttempts), granted.value_or(1U));
+        request.m_route = std::make_shared<const Route>(std::move(route));
         request.m_version = ConfigurationVersion(detail::readInteger<std::uint64_t>(json[19]));
         request.m_goalLeft = readDuration(json[20]);
     } catch (const std::exception& exception) {
@@ -155,6 +160,10 @@
         reason = Reason { ResultCode::DeadlineTooShort, "no time is left to serve the request" };
         return false;
     }
+    if (route.m_maxAttempts == 0) {
+        reason = Reason { ResultCode::InvalidField, "no attempt is granted" };
+        return false;
+    }
     return route.m_targets.empty() != route.m_shards.empty();
 }
 
@@ -171,6 +180,7 @@
         // Without a body this is no answer for the caller, only a failed call.
         constexpr unsigned failed = 502;
         response.m_status = failed;
+        response.m_fields.push_back({ detail::usedAttemptsField, std::to_string(answer.m_usedAttempts) });
         return response;
     }
     CborWriter writer;
--- a/src/libflamingo/forward/relaywire.h
+++ b/src/libflamingo/forward/relaywire.h
@@ -21,13 +21,19 @@
 bool isRelayCall(const HttpRequest& http);
 
 /**
- * Sets the call's path and body. Precondition: the request has its route.
+ * Sets the call's path, headers and body.
  *
- * After goalLeft the other VM answers with the shards it has by then, as far as the route allows.
+ * The route is the one of the request, with the attempts that the other VM is granted and the shards that it is to
+ * call. After goalLeft it answers with the shards it has by then, as far as the route allows.
  */
-void writeRelayCall(const ForwardRequest& request, Milliseconds goalLeft, EndpointCall& call);
+void writeRelayCall(const ForwardRequest& request, const Route& route, Milliseconds goalLeft, EndpointCall& call);
 
-/** Decodes a call into a request with its route. Returns false and sets the reason if the call is malformed. */
+/**
+ * Decodes a call into a request with its route. Returns false and sets the reason if the call is malformed.
+ *
+ * A call that does not state the granted attempts gets one: the VM that sends it does not count the attempts that were
+ * made before.
+ */
 bool decodeRelayCall(const HttpRequest& http, ForwardRequest& request, Reason& reason);
 
 /** Encodes the answer to a call. */
--- a/src/libflamingo/forward/tests/cutofftier.h
+++ b/src/libflamingo/forward/tests/cutofftier.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/forwardexecution.h"
+#include "forward/mergewire.h"
 #include "forward/reachability.h"
 #include "forward/relaywire.h"
 #include "forward/tests/forwardfixture.h"
@@ -11,6 +12,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -184,6 +186,8 @@
         std::size_t m_vm = 0;
         std::size_t m_outcome = 0;
         std::function<void(ForwardAnswer)> m_answer;
+        std::set<AttemptNumber> m_unsent; // calls that wait for a connection
+        std::set<AttemptNumber> m_cancelled;
     };
     using RunningPtr = std::shared_ptr<Running>;
 
@@ -300,6 +304,8 @@
 
     void carryOut(const RunningPtr& running, ForwardEffects effects)
     {
+        for (const AttemptNumber attempt : effects.m_cancelUnsent)
+            cancelUnsent(running, attempt);
         for (ForwardEffects::Send& send : effects.m_sends) {
             if (send.m_toVm)
                 callVm(running, send);
@@ -325,9 +331,25 @@
             carryOut(running, handleForwardTimer(m_vms[running->m_vm].m_state, running->m_execution, m_now));
     }
 
+    void cancelUnsent(const RunningPtr& running, AttemptNumber attempt)
+    {
+        if (running->m_unsent.erase(attempt) == 0)
+            return;
+        EndpointReply unsent;
+        unsent.m_outcome = CallOutcome::NotSent;
+        at(m_now, [this, running, attempt, unsent] {
+            carryOut(running,
+                handleForwardReply(m_vms[running->m_vm].m_state, running->m_execution, attempt, unsent, m_now));
+        });
+        running->m_cancelled.insert(attempt);
+    }
+
     void reply(const RunningPtr& running, AttemptNumber attempt, EndpointReply reply, MonotonicTime time)
     {
         at(time, [this, running, attempt, reply = std::move(reply)] {
+            running->m_unsent.erase(attempt);
+            if (running->m_cancelled.count(attempt) > 0)
+                return;
             carryOut(
                 running, handleForwardReply(m_vms[running->m_vm].m_state, running->m_execution, attempt, reply, m_now));
         });
@@ -364,6 +386,8 @@
         const bool refused = m_load.m_cut == Cut::Refuse;
         const bool newConnection = send.m_call.m_dedicatedConnection || send.m_call.m_recentlyActiveConnection;
         lost.m_outcome = refused || newConnection ? CallOutcome::NotSent : CallOutcome::TimedOut;
+        if (newConnection && !refused)
+            running->m_unsent.insert(send.m_attempt);
         const MonotonicTime connectTimeout = m_now + Milliseconds(500);
         reply(running, send.m_attempt, std::move(lost),
             refused             ? m_now + Milliseconds(1)
@@ -379,6 +403,7 @@
         http.m_body = send.m_call.m_body;
         http.m_receivedAt = m_now + Milliseconds(1);
         const auto left = std::chrono::duration_cast<Milliseconds>(send.m_call.m_deadline - m_now);
+        http.m_fields = send.m_call.m_fields;
         http.m_fields.push_back({ "X-Flamingo-Deadline-Ms", std::to_string(left.count()) });
         at(http.m_receivedAt, [this, running, http, target, attempt = send.m_attempt] {
             const auto respond = [this, running, attempt](const ForwardAnswer& answer) {
@@ -389,6 +414,8 @@
                 result.m_notRun = response.m_status == 503;
                 result.m_retryAfter = Milliseconds(1000);
                 result.m_body = response.m_body;
+                for (const HttpField& field : response.m_fields)
+                    mergeProtocol().m_readField(result, field.m_name, field.m_value);
                 reply(running, attempt, std::move(result), m_now + Milliseconds(1));
             };
             ForwardRequest request;
--- a/src/libflamingo/forward/tests/mergetest.cpp
+++ b/src/libflamingo/forward/tests/mergetest.cpp
@@ -144,14 +144,21 @@
         CHECK(answer->m_missingShards == 3);
     }
     // Otherwise a shard could get more attempts than the route allows.
-    SECTION("after the loss of a merging VM the next one gets a single attempt for each shard")
+    SECTION("after the loss of a merging VM that was granted all attempts no other is called")
     {
-        const ForwardEffects retry = vm.reply(execution, started.m_sends[0], ForwardFixture::lost());
+        CHECK(vm.reply(execution, started.m_sends[0], ForwardFixture::lost()).m_sends.empty());
+        CHECK(execution.m_lostShards == 10);
+    }
+    SECTION("after the loss of a merging VM the next one gets the single attempt that was kept back")
+    {
+        vm.m_fanOut.m_maxAttempts = 3;
+        ForwardExecution other = vm.execution(vm.m_fanOut);
+        const ForwardEffects first = vm.start(other);
+        const ForwardEffects retry = vm.reply(other, first.m_sends[0], ForwardFixture::lost());
         REQUIRE(retry.m_sends.size() == 1);
-        const HttpRequest http = toRequest(retry.m_sends[0].m_call);
         ForwardRequest request;
         Reason reason;
-        REQUIRE(decodeMergeCall(http, request, reason));
+        REQUIRE(decodeMergeCall(toRequest(retry.m_sends[0].m_call), request, reason));
         CHECK(request.m_route->m_maxAttempts == 1);
     }
     SECTION("with too few shards at the goal the remaining shards are requested")
@@ -198,8 +205,10 @@
     {
         EndpointReply malformed = MergeFixture::merged(started.m_sends[0].m_call, 10);
         malformed.m_body.resize(malformed.m_body.size() / 2);
-        CHECK_FALSE(vm.reply(execution, started.m_sends[0], malformed).m_answer);
+        const auto answer = vm.reply(execution, started.m_sends[0], malformed).m_answer;
         CHECK(execution.m_answeredShards == 0);
+        REQUIRE(answer); // ten shards fewer are below the minimum answered share
+        CHECK(answer->m_code == ResultCode::EndpointFailed);
     }
 }
 
@@ -332,11 +341,11 @@
         }
         CHECK(remote == 0);
     }
-    SECTION("and an owner elsewhere is called when the one nearby is lost")
+    SECTION("and an owner elsewhere is called when the one nearby cannot be reached")
     {
         ForwardExecution execution = vm.execution(vm.m_fanOut);
         const ForwardEffects started = vm.start(execution);
-        const ForwardEffects retry = vm.reply(execution, started.m_sends[0], ForwardFixture::lost());
+        const ForwardEffects retry = vm.reply(execution, started.m_sends[0], EndpointReply());
         REQUIRE(retry.m_sends.size() == 1);
         CHECK(retry.m_sends[0].m_call.m_endpoint != started.m_sends[0].m_call.m_endpoint);
     }
--- a/src/libflamingo/forward/tests/relaywiretest.cpp
+++ b/src/libflamingo/forward/tests/relaywiretest.cpp
@@ -1,4 +1,5 @@
 #include "forward/relaywire.h"
+#include "forward/mergewire.h"
 #include "forward/tests/forwardfixture.h"
 
 #include <catch2/catch.hpp>
@@ -11,10 +12,11 @@
 HttpRequest relayCall(const ForwardRequest& request, const char* timeLeft = "500")
 {
     EndpointCall call;
-    writeRelayCall(request, Milliseconds(80), call);
+    writeRelayCall(request, *request.m_route, Milliseconds(80), call);
     HttpRequest http;
     http.m_target = call.m_path;
     http.m_body = call.m_body;
+    http.m_fields = call.m_fields;
     http.m_fields.push_back({ "X-Flamingo-Deadline-Ms", timeLeft });
     return http;
 }
@@ -58,14 +60,53 @@
         CHECK(response.m_status == 503);
         CHECK(findField(response.m_fields, "X-Flamingo-Not-Run") == "1");
     }
-    SECTION("a VM that lost its links itself gives no answer for the caller")
+    SECTION("a VM that lost its links itself gives no answer for the caller, and says how many attempts it used")
     {
         ForwardAnswer failure;
         failure.m_code = ResultCode::EndpointFailed;
         failure.m_cutOff = true;
+        failure.m_usedAttempts = 1;
         const HttpResponse response = encodeRelayAnswer(failure);
         CHECK(response.m_status == 502);
         CHECK_FALSE(decodeRelayAnswer(response.m_body));
+        EndpointReply reply;
+        for (const HttpField& field : response.m_fields)
+            mergeProtocol().m_readField(reply, field.m_name, field.m_value);
+        CHECK(reply.m_usedAttempts == 1U);
+    }
+    SECTION("the call states the attempts that it grants, also to a VM that only reads the route")
+    {
+        Route granted = vm.m_fanOut;
+        granted.m_maxAttempts = 1;
+        EndpointCall call;
+        writeRelayCall(request, granted, Milliseconds(80), call);
+        const std::string header = mergeProtocol().m_formatHeader(call, Milliseconds(500));
+        CHECK(header.find("\r\nX-Flamingo-Granted-Attempts: 1\r\n") != std::string::npos);
+        CHECK(header.find("\r\n\r\n") == header.size() - 4);
+        HttpRequest http = relayCall(request);
+        http.m_body = call.m_body;
+        REQUIRE(decodeRelayCall(http, decoded, reason));
+        CHECK(decoded.m_route->m_maxAttempts == 1);
+        CHECK(decoded.m_attemptsGranted);
+    }
+    SECTION("a call of a VM that does not count attempts over all VMs gets a single one")
+    {
+        HttpRequest http = relayCall(request);
+        http.m_fields.erase(http.m_fields.begin());
+        REQUIRE(findField(http.m_fields, "X-Flamingo-Granted-Attempts").empty());
+        REQUIRE(decodeRelayCall(http, decoded, reason));
+        CHECK(decoded.m_route->m_maxAttempts == 1);
+        CHECK_FALSE(decoded.m_attemptsGranted);
+    }
+    SECTION("a call that grants no attempt is refused")
+    {
+        Route exhausted = vm.m_fanOut;
+        exhausted.m_maxAttempts = 0;
+        EndpointCall call;
+        writeRelayCall(request, exhausted, Milliseconds(80), call);
+        HttpRequest http = relayCall(request);
+        http.m_fields.front() = call.m_fields.front();
+        CHECK_FALSE(decodeRelayCall(http, decoded, reason));
     }
     SECTION("an answer of an endpoint is passed on unchanged")
     {
--- a/src/libflamingo/forward/vmmessage.cpp
+++ b/src/libflamingo/forward/vmmessage.cpp
@@ -31,6 +31,16 @@
     return Milliseconds(milliseconds);
 }
 
+std::optional<std::uint32_t> readAttempts(std::string_view text)
+{
+    std::uint32_t attempts = 0;
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, attempts);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return attempts;
+}
+
 Milliseconds readTimeLeft(const HttpRequest& http) { return readMilliseconds(findField(http.m_fields, deadlineField)); }
 
 void appendRefusal(HttpResponse& response, Milliseconds retryAfter)
--- a/src/libflamingo/forward/vmmessage.h
+++ b/src/libflamingo/forward/vmmessage.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -20,6 +21,9 @@
 inline constexpr char deadlineField[] = "X-Flamingo-Deadline-Ms";
 inline constexpr char notRunField[] = "X-Flamingo-Not-Run";
 inline constexpr char retryAfterField[] = "X-Flamingo-Retry-After-Ms";
+// Attempts for each shard that the called VM may make, and those that it made before it returned the request.
+inline constexpr char grantedAttemptsField[] = "X-Flamingo-Granted-Attempts";
+inline constexpr char usedAttemptsField[] = "X-Flamingo-Used-Attempts";
 
 /** Parses a message; the result is discarded if it is malformed or nested too deeply for nlohmann's parser. */
 nlohmann::json parseMessage(const std::string& body);
@@ -41,6 +45,9 @@
 /** Returns how long the calling VM still waits, as the message states it; 0 if it does not. */
 Milliseconds readTimeLeft(const HttpRequest& http);
 
+/** Parses a number of attempts; returns nothing if it is malformed. */
+std::optional<std::uint32_t> readAttempts(std::string_view text);
+
 /** Marks the response as a refusal: the request has not run. */
 void appendRefusal(HttpResponse& response, Milliseconds retryAfter);
 
