Quarantine forwarded requests that crash endpoints

Operators report a request under which three endpoints had ended and that was sent to endpoints again and again; more of them ended. Callers send such a request again under another id and through any VM.

Cause: the quarantine of crashing requests belonged to the product's own queries and requests. Forwarded requests, by which all traffic of the routes role goes, had no fingerprint and reported nothing. Ruled out: a quarantine that comes too late or is not known to all VMs; there was none.

Now a request that ended without an endpoint that survived it is a suspect if an endpoint that lost its call refuses connections afterwards (one test connection). The crash is reported to the control VMs by the existing command; two reports quarantine the fingerprint (method, host, target, body) on all VMs, on every path: callers' requests, relayed ones, groups of shards, hedges and retries. It is refused at once as not run.

A request that was merely in flight is protected: one report for each failed execution, since the endpoints of one may have ended for one reason; a VM that has seen an endpoint survive the request neither refuses nor reports it, and clears a quarantine of it.

Outages without a crashing request quarantine nothing.

--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -128,7 +128,7 @@
             m_forwardLoop->updateState(std::move(state), changes);
         });
     m_forwardLoop = std::make_unique<ForwardLoop>(
-        m_settings, *m_protocols.m_callers, m_controlLoop.proxy().m_lease, m_metrics.registry());
+        m_settings, *m_protocols.m_callers, m_controlLoop.proxy(), m_metrics.registry());
     if (!m_forwardLoop->start(reason))
         return false;
     m_controlLoop.run();
--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -65,17 +65,17 @@
 
 } // namespace
 
-ForwardLoop::ForwardLoop(const Settings& settings, const CallerProtocol& protocol,
-    std::shared_ptr<const LeaseView> lease, MetricsRegistry& metrics)
+ForwardLoop::ForwardLoop(
+    const Settings& settings, const CallerProtocol& protocol, const ControlLoopProxy& control, MetricsRegistry& metrics)
     : m_settings(settings)
     , m_protocol(protocol)
-    , m_lease(std::move(lease))
+    , m_lease(control.m_lease)
     , m_work(boost::asio::make_work_guard(m_io))
     , m_ticker(m_io)
     , m_state(makeState(settings))
     , m_endpointClient(m_io, *protocol.m_endpoints)
     , m_mergeClient(m_io, mergeProtocol(), mergeClientSettings())
-    , m_runner(m_io, m_endpointClient, m_mergeClient, m_state, metrics)
+    , m_runner(m_io, m_endpointClient, m_mergeClient, m_state, control, metrics)
     , m_callerServer(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); })
     , m_probeServer(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleProbe(*exchange); })
     , m_mergeServer(m_io, [this](const std::shared_ptr<HttpExchange>& exchange) { handleVmCall(exchange); })
@@ -173,6 +173,9 @@
         m_stateFresh = true;
     }
     updateConnections(changes);
+    const auto isQuarantine = [](const Change& change) { return std::holds_alternative<QuarantineRecord>(change); };
+    if (!changes || std::any_of(changes->begin(), changes->end(), isQuarantine))
+        m_runner.clearWronglyQuarantined();
 }
 
 void ForwardLoop::updateConnections(const std::vector<Change>* changes)
@@ -417,6 +420,15 @@
     observe("flamingo_endpoint_rate_limit_passed_over_total",
         "Times that an endpoint was not chosen, since this VM had sent its share of the rate limit.",
         [this] { return double(m_state.m_routing.m_rateLimitReport.m_passedOver); });
+    observe("flamingo_forward_quarantined_total", "Requests refused since they have crashed endpoints.",
+        [this] { return double(m_runner.counters().m_quarantined); });
+    observe("flamingo_forward_examined_endpoints_total",
+        "Endpoints examined after a lost connection, to find out whether they have ended.",
+        [this] { return double(m_runner.crashCounters().m_examined); });
+    observe("flamingo_forward_crash_reports_total", "Endpoints reported as ended while they ran a request.",
+        [this] { return double(m_runner.crashCounters().m_reported); });
+    observe("flamingo_forward_cleared_suspects_total", "Suspected requests that an endpoint survived later.",
+        [this] { return double(m_runner.crashCounters().m_cleared); });
     metrics.observedGauge("flamingo_endpoints_cut_off", "1 while this VM cannot reach any endpoint.",
         [this] { return m_state.m_reachability.m_cutOff ? 1.0 : 0.0; });
     observe("flamingo_endpoints_cut_off_total", "Times that this VM lost its links to all endpoints.",
--- a/src/libflamingo/daemon/forwardloop.h
+++ b/src/libflamingo/daemon/forwardloop.h
@@ -2,6 +2,7 @@
 
 #include "base/monotonictimer.h"
 #include "control/leaseview.h"
+#include "daemon/controlloopproxy.h"
 #include "daemon/forwardrunner.h"
 #include "endpoint/endpointclient.h"
 #include "forward/callerprotocol.h"
@@ -24,8 +25,8 @@
  */
 class ForwardLoop {
 public:
-    /** The settings, the protocol and the metrics registry must outlive the loop. */
-    ForwardLoop(const Settings& settings, const CallerProtocol& protocol, std::shared_ptr<const LeaseView> lease,
+    /** The references must outlive the loop. */
+    ForwardLoop(const Settings& settings, const CallerProtocol& protocol, const ControlLoopProxy& control,
         MetricsRegistry& metrics);
     ~ForwardLoop();
     ForwardLoop(const ForwardLoop&) = delete;
--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/monotonictimer.h"
 #include "endpoint/endpointclient.h"
+#include "forward/crashsuspects.h"
 #include "metrics/callermetrics.h"
 
 #include <boost/asio/post.hpp>
@@ -70,11 +71,12 @@
 };
 
 ForwardRunner::ForwardRunner(boost::asio::io_context& io, EndpointClient& endpointClient, EndpointClient& mergeClient,
-    ForwardState& state, MetricsRegistry& metrics)
+    ForwardState& state, const ControlLoopProxy& control, MetricsRegistry& metrics)
     : m_io(io)
     , m_endpointClient(endpointClient)
     , m_mergeClient(mergeClient)
     , m_state(state)
+    , m_crashReporter(io, control)
     , m_metrics(metrics)
 {
 }
@@ -129,6 +131,7 @@
     running->m_abandoned = true;
     running->m_timer.cancel();
     abandonForward(m_state, running->m_execution);
+    examineLostEndpoints(running);
     FLAMINGO_LOG(Info, "caller disconnected", { "request_id", running->m_execution.m_request.m_id.value() },
         { "open_calls", std::to_string(running->m_calls.size()) });
     const auto calls = running->m_calls;
@@ -138,6 +141,8 @@
 
 void ForwardRunner::carryOut(const RunningPtr& running, ForwardEffects effects)
 {
+    if (effects.m_clearSuspect)
+        m_crashReporter.clear(running->m_execution.m_fingerprint);
     for (const AttemptNumber attempt : effects.m_cancelUnsent)
         cancelUnsent(*running, attempt);
     for (ForwardEffects::Send& call : effects.m_sends)
@@ -146,6 +151,7 @@
         finish(running, std::move(*effects.m_answer));
     else if (running->m_execution.m_finished)
         erase(*running);
+    examineLostEndpoints(running);
     if (effects.m_nextTimerAt && !running->m_execution.m_finished)
         setTimer(running, *effects.m_nextTimerAt);
     for (const ExecutionId execution : effects.m_unblocked) {
@@ -184,6 +190,38 @@
     running->m_calls[attempt] = { &client, client.start(std::move(effect.m_call), handler) };
 }
 
+void ForwardRunner::examineLostEndpoints(const RunningPtr& running)
+{
+    for (const LostEndpoint& endpoint : takeLostEndpoints(m_state, running->m_execution)) {
+        m_crashReporter.examine(endpoint, [this, running, endpoint](bool ended) {
+            if (ended)
+                reportCrash(*running, endpoint);
+        });
+    }
+}
+
+void ForwardRunner::reportCrash(Running& running, const LostEndpoint& endpoint)
+{
+    auto report = flamingo::reportCrash(m_state, running.m_execution, endpoint, monotonicNow());
+    if (!report)
+        return;
+    const Fingerprint fingerprint = running.m_execution.m_fingerprint;
+    FLAMINGO_LOG(Warning, "endpoint ended while it ran a request",
+        { "request_id", running.m_execution.m_request.m_id.value() }, { "endpoint", report->m_endpoint.value() },
+        { "service", report->m_service.value() }, { "fingerprint", std::to_string(fingerprint.value()) });
+    m_crashReporter.report(
+        std::move(*report), [this, fingerprint] { recordReportApplied(m_state.m_fingerprints, fingerprint); });
+}
+
+void ForwardRunner::clearWronglyQuarantined()
+{
+    for (const Fingerprint fingerprint : wronglyQuarantined(m_state)) {
+        FLAMINGO_LOG(
+            Info, "quarantined request known as harmless", { "fingerprint", std::to_string(fingerprint.value()) });
+        m_crashReporter.clear(fingerprint);
+    }
+}
+
 void ForwardRunner::cancelUnsent(const Running& running, AttemptNumber attempt)
 {
     const auto call = running.m_calls.find(attempt);
@@ -253,6 +291,7 @@
         m_paused[{ request.m_id, request.m_route->m_shards.front() }] = running->m_execution.m_id;
     else
         erase(*running);
+    m_counters.m_quarantined += answer.m_code == ResultCode::Quarantined ? 1 : 0;
     const auto elapsed = monotonicNow() - request.m_receivedAt;
     FLAMINGO_LOG(Info, "request answered", { "request_id", request.m_id.value() }, { "route", request.m_route->m_name },
         { "version", std::to_string(request.m_version.value()) },
--- a/src/libflamingo/daemon/forwardrunner.h
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/crashreporter.h"
 #include "endpoint/callhandle.h"
 #include "forward/forwardexecution.h"
 #include "forward/mergewire.h"
@@ -26,6 +27,7 @@
     std::uint64_t m_hedges = 0;
     std::uint64_t m_relayed = 0; // calls to other VMs to serve a request
     std::uint64_t m_abandoned = 0; // requests whose callers disconnected
+    std::uint64_t m_quarantined = 0; // requests refused since they crash endpoints
 };
 
 /**
@@ -41,7 +43,7 @@
     using AnswerHandler = std::function<void(ForwardAnswer)>;
 
     ForwardRunner(boost::asio::io_context& io, EndpointClient& endpointClient, EndpointClient& mergeClient,
-        ForwardState& state, MetricsRegistry& metrics);
+        ForwardState& state, const ControlLoopProxy& control, MetricsRegistry& metrics);
     ~ForwardRunner();
     ForwardRunner(const ForwardRunner&) = delete;
     ForwardRunner& operator=(const ForwardRunner&) = delete;
@@ -67,10 +69,14 @@
     /** Lets all requests without an answer look for another way, after this VM has lost its links to the endpoints. */
     void reconsiderAll();
 
+    /** Tells the control VMs which quarantined requests this VM knows as harmless. Called after each new quarantine. */
+    void clearWronglyQuarantined();
+
     /** Returns the number of requests that are not yet answered. */
     std::size_t inFlight() const { return m_running.size(); }
 
     const ForwardCounters& counters() const { return m_counters; }
+    const CrashReportCounters& crashCounters() const { return m_crashReporter.counters(); }
 
 private:
     struct Running;
@@ -78,6 +84,8 @@
 
     void carryOut(const RunningPtr& running, ForwardEffects effects);
     void send(const RunningPtr& running, ForwardEffects::Send effect);
+    void examineLostEndpoints(const RunningPtr& running);
+    void reportCrash(Running& running, const LostEndpoint& endpoint);
     void cancelUnsent(const Running& running, AttemptNumber attempt);
     void handleReply(const RunningPtr& running, AttemptNumber attempt, EndpointReply reply);
     void logFailedCall(const Running& running, AttemptNumber attempt, const EndpointReply& reply) const;
@@ -92,6 +100,7 @@
     EndpointClient& m_endpointClient;
     EndpointClient& m_mergeClient; // for calls to merging VMs
     ForwardState& m_state;
+    CrashReporter m_crashReporter;
     CallerMetricsTable m_metrics;
     ForwardCounters m_counters;
     std::uint64_t m_lastExecution = 0;
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -1,5 +1,6 @@
 #include "forward/forwardexecution.h"
 
+#include "forward/crashsuspects.h"
 #include "forward/forwardfinish.h"
 #include "forward/forwardstart.h"
 #include "forward/handover.h"
@@ -76,6 +77,8 @@
         if (verdict == CallVerdict::Answered && !part.callsVm())
             addLatency(m_state.m_latencies[m_route.m_key],
                 std::chrono::duration_cast<Microseconds>(m_now - call.m_attempt.m_sentAt), m_now);
+        if (!part.callsVm())
+            learnFromRun(call, part.m_service, reply);
         unblockWaiting(routing, call.m_attempt.m_endpoint);
         if (m_execution.m_finished || part.m_state != ForwardPart::State::Open)
             return;
@@ -181,6 +184,15 @@
             [](const ForwardPart& part) { return part.m_relay; });
     }
 
+    void learnFromRun(const ForwardCall& call, const ServiceName& service, const EndpointReply& reply)
+    {
+        const bool ofThisRequest = reply.m_request.value().empty() || reply.m_request == m_execution.m_request.m_id;
+        if (reply.m_outcome == CallOutcome::Answered && !reply.m_notRun && !reply.m_wrongEndpoint && ofThisRequest)
+            m_effects.m_clearSuspect = recordSurvival(m_state, m_execution);
+        else if (reply.m_outcome == CallOutcome::ConnectionLost)
+            recordLostEndpoint(m_state, m_execution, call.m_attempt, service);
+    }
+
     // Returns whether another VM must take over: one that this VM chooses, or the one that has relayed the request.
     // A call that may run only once and has perhaps been sent can still be answered.
     bool mustHandOver() const
@@ -374,6 +386,10 @@
         ForwardPart& part = m_execution.m_parts[index];
         if (!part.m_relay && (m_execution.m_handOverAt || isRelayed()))
             return; // another VM takes over
+        if (kind != CallKind::First && isQuarantined(m_state, m_execution.m_fingerprint, m_now)) {
+            giveUp(part, kind);
+            return;
+        }
         if (attemptsLeft(part.m_attempts) == 0 || (kind == CallKind::Hedge && !isIdempotent())) {
             giveUp(part, kind);
             return;
@@ -585,6 +601,13 @@
 ForwardEffects startForward(ForwardState& state, ForwardExecution& execution, MonotonicTime now)
 {
     setDeadlines(state, execution);
+    execution.m_fingerprint = forwardFingerprint(execution.m_request);
+    if (isQuarantined(state, execution.m_fingerprint, now)) {
+        execution.m_finished = true;
+        ForwardEffects effects;
+        effects.m_answer = quarantineAnswer(execution);
+        return effects;
+    }
     makeParts(state, execution);
     ForwardStep step(state, execution, now);
     step.start();
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -5,6 +5,7 @@
 #include "forward/forwardanswer.h"
 #include "forward/forwardrequest.h"
 #include "forward/forwardstate.h"
+#include "forward/lostendpoint.h"
 #include "routing/attempt.h"
 
 #include <cstdint>
@@ -80,6 +81,11 @@
     std::optional<ForwardAnswer> m_relayedAnswer; // answer of the VM that served a request without shards
     // Set on a merging VM after an incomplete answer: the execution can be resumed until this time.
     std::optional<MonotonicTime> m_pausedUntil;
+    // Whether the request crashes endpoints, see crashsuspects.h.
+    Fingerprint m_fingerprint;
+    bool m_survived = false; // an endpoint answered after running the request
+    std::vector<LostEndpoint> m_lostEndpoints; // of calls that ended with a closed connection
+    bool m_crashReported = false;
     bool m_finished = false;
 };
 
@@ -96,6 +102,7 @@
     std::vector<Send> m_sends;
     // At most one answer per execution. After an answer that sets m_moreFollows, each resumeForward() gives one more.
     std::optional<ForwardAnswer> m_answer;
+    bool m_clearSuspect = false; // an endpoint survived the request, which was suspected of crashing endpoints
     std::vector<ExecutionId> m_unblocked; // other executions that can send now, since an endpoint has capacity again
     // When handleForwardTimer() must be called next; unset once the execution has finished.
     std::optional<MonotonicTime> m_nextTimerAt;
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -11,6 +11,8 @@
 
 constexpr unsigned firstErrorStatus = 400;
 constexpr unsigned firstServerErrorStatus = 500;
+// The quarantine lasts longer than callers wait, so that a retry within their time is of no use.
+constexpr Milliseconds quarantineRetryAfter { 60000 };
 
 ForwardAnswer initialAnswer(const ForwardExecution& execution)
 {
@@ -145,6 +147,14 @@
 
 } // namespace
 
+ForwardAnswer quarantineAnswer(const ForwardExecution& execution)
+{
+    ForwardAnswer answer
+        = errorAnswer(execution, ResultCode::Quarantined, "the request crashed endpoints and is quarantined");
+    answer.m_retryAfter = quarantineRetryAfter;
+    return answer;
+}
+
 std::uint32_t minAnsweredShards(const ForwardExecution& execution)
 {
     const double exact = execution.m_request.m_route->m_minAnsweredShare * double(execution.m_shardCount);
--- a/src/libflamingo/forward/forwardfinish.h
+++ b/src/libflamingo/forward/forwardfinish.h
@@ -10,6 +10,9 @@
 /** Returns how a reply counts in the endpoint's statistics; CallVerdict::Answered if it answers the request. */
 CallVerdict forwardVerdict(const ForwardRequest& request, const Route& route, const EndpointReply& reply);
 
+/** Returns the refusal of a request that crashes endpoints. */
+ForwardAnswer quarantineAnswer(const ForwardExecution& execution);
+
 /** Returns how many shards an answer to a fan-out needs. Precondition: the request has its route. */
 std::uint32_t minAnsweredShards(const ForwardExecution& execution);
 
--- a/src/libflamingo/forward/forwardstart.cpp
+++ b/src/libflamingo/forward/forwardstart.cpp
@@ -1,5 +1,6 @@
 #include "forward/forwardstart.h"
 
+#include "forward/crashsuspects.h"
 #include "forward/handover.h"
 #include "forward/mergeplan.h"
 
@@ -26,6 +27,15 @@
     return route.m_targets.back().m_service;
 }
 
+// A hedge or a retry of a request that has crashed an endpoint could crash another one.
+void limitSuspect(const ForwardState& state, ForwardExecution& execution)
+{
+    if (!isSuspect(state, execution.m_fingerprint))
+        return;
+    for (ForwardPart& part : execution.m_parts)
+        part.m_attempts.m_allowed = 1;
+}
+
 void addPart(ForwardExecution& execution, const ServiceName& service)
 {
     execution.m_parts.emplace_back();
@@ -33,6 +43,27 @@
     execution.m_parts.back().m_attempts.m_allowed = std::max(1U, execution.m_request.m_route->m_maxAttempts);
 }
 
+void addParts(ForwardState& state, ForwardExecution& execution)
+{
+    const Route& route = *execution.m_request.m_route;
+    if (mayRelay(state, execution.m_request)) {
+        execution.m_parts.push_back(relayPart(route));
+        return;
+    }
+    if (route.m_shards.empty())
+        return addPart(execution, chooseTarget(route, state.m_random));
+    if (execution.m_request.m_partialAnswerAfter || !usesMergers(state, route)) {
+        for (const ServiceName& shard : route.m_shards)
+            addPart(execution, shard);
+        return;
+    }
+    std::vector<std::vector<ServiceName>> groups = mergeGroups(route.m_shards, state.m_settings.m_shardsPerGroup);
+    for (std::size_t group = 0; group < groups.size(); ++group) {
+        addPart(execution, mergeGroupName(group));
+        execution.m_parts.back().m_group = std::move(groups[group]);
+    }
+}
+
 } // namespace
 
 void setDeadlines(const ForwardState& state, ForwardExecution& execution)
@@ -63,23 +94,8 @@
 
 void makeParts(ForwardState& state, ForwardExecution& execution)
 {
-    const Route& route = *execution.m_request.m_route;
-    if (mayRelay(state, execution.m_request)) {
-        execution.m_parts.push_back(relayPart(route));
-        return;
-    }
-    if (route.m_shards.empty())
-        return addPart(execution, chooseTarget(route, state.m_random));
-    if (execution.m_request.m_partialAnswerAfter || !usesMergers(state, route)) {
-        for (const ServiceName& shard : route.m_shards)
-            addPart(execution, shard);
-        return;
-    }
-    std::vector<std::vector<ServiceName>> groups = mergeGroups(route.m_shards, state.m_settings.m_shardsPerGroup);
-    for (std::size_t group = 0; group < groups.size(); ++group) {
-        addPart(execution, mergeGroupName(group));
-        execution.m_parts.back().m_group = std::move(groups[group]);
-    }
+    addParts(state, execution);
+    limitSuspect(state, execution);
 }
 
 bool mayRelay(const ForwardState& state, const ForwardRequest& request)
--- a/src/libflamingo/forward/forwardstate.cpp
+++ b/src/libflamingo/forward/forwardstate.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds maxEjection { 4000 };
 // Keeps an endpoint busy while answers are in transit, without filling its queue.
 constexpr double callsPerSlot = 4.0;
+// Requests remembered as harmless. Small, since a VM sees few of them within the life of its endpoints.
+constexpr std::size_t rememberedRequests = 4096;
 
 void replaceRoutes(ForwardState& state, const PublishedState& published)
 {
@@ -57,6 +59,7 @@
     state.m_relays = makeRoutingState(routing);
     routing.m_callsPerSlot = callsPerSlot;
     state.m_routing = makeRoutingState(routing);
+    state.m_fingerprints = makeFingerprintMemory(rememberedRequests);
     return state;
 }
 
--- a/src/libflamingo/forward/forwardstate.h
+++ b/src/libflamingo/forward/forwardstate.h
@@ -5,6 +5,7 @@
 #include "routes/routeconfiguration.h"
 #include "routes/routetable.h"
 #include "routing/endpointchoice.h"
+#include "routing/fingerprintmemory.h"
 #include "routing/routingstate.h"
 
 #include <map>
@@ -20,6 +21,7 @@
     RouteHeader m_header; // version and caller limits of m_routes
     ForwardSettings m_settings;
     std::map<RouteKey, LatencyDistribution> m_latencies; // of the calls of each route, for hedge delays
+    FingerprintMemory m_fingerprints; // requests that endpoints survived, and those that may crash them
     RandomEngine m_random;
 
     // Two-level fan-outs, see mergeplan.h. Updated by updateMergers().
--- /dev/null
+++ b/src/libflamingo/forward/tests/crashsuspecttest.cpp
@@ -0,0 +1,90 @@
+#include "forward/tests/crashtier.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+
+namespace {
+
+constexpr std::uint64_t seeds = 6;
+// Time after the third crash from which on all VMs must hold the request back, and what may still slip through.
+constexpr Milliseconds decisionTime { 4000 };
+constexpr std::size_t maxLateArrivals = 3;
+
+template <typename CheckTier> void playAll(CrashTier::Load load, CheckTier checkTier)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        load.m_seed = seed;
+        CrashTier tier(load);
+        tier.play();
+        checkTier(tier);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a forwarded request that crashes endpoints is held back by all VMs", "[forward]")
+{
+    CrashTier::Load load;
+
+    SECTION("a service with four endpoints") { }
+    SECTION("a service with two endpoints, which come back under the same id") { load.m_endpoints = 2; }
+    SECTION("requests that may run only once") { load.m_idempotent = false; }
+    SECTION("many VMs, each of which sees the request rarely") { load.m_vms = 40; }
+    SECTION("a query over six shards")
+    {
+        load.m_shards = 6;
+        load.m_endpoints = 2;
+    }
+    SECTION("a caller that sends it again at once") { load.m_crashingEvery = Milliseconds(40); }
+    playAll(load, [](const CrashTier& tier) {
+        CHECK(tier.crashes() >= 2);
+        CHECK(tier.arrivalsAfterThirdCrash(decisionTime) <= maxLateArrivals);
+        CHECK(tier.m_quarantined == 0);
+    });
+}
+
+// Guards against taking a request for the cause of a crash only because it was in flight.
+TEST_CASE("requests that were in flight when endpoints ended are not held back", "[forward]")
+{
+    CrashTier::Load load;
+    load.m_crashingEvery = Milliseconds(0);
+    load.m_outageEvery = Milliseconds(2500);
+
+    SECTION("requests that come often") { }
+    SECTION("requests that come rarely") { load.m_targets = 400; }
+    SECTION("queries over six shards, many of which lose an endpoint at once")
+    {
+        load.m_shards = 6;
+        load.m_endpoints = 2;
+    }
+    SECTION("a load under which every outage hits requests") { load.m_requestsPerSecond = 600.0; }
+    playAll(load, [](const CrashTier& tier) {
+        CHECK(tier.m_quarantined == 0);
+        CHECK(tier.m_served >= tier.m_requests * 95 / 100);
+    });
+}
+
+TEST_CASE("a quarantined request is refused at once as not run", "[forward]")
+{
+    ForwardFixture vm(1);
+    ForwardExecution execution = vm.execution(vm.m_single);
+    const Fingerprint fingerprint = forwardFingerprint(execution.m_request);
+    vm.m_published.m_quarantine[fingerprint].m_fingerprint = fingerprint;
+    vm.apply();
+    const ForwardEffects effects = vm.start(execution);
+    CHECK(effects.m_sends.empty());
+    REQUIRE(effects.m_answer);
+    CHECK(effects.m_answer->m_code == ResultCode::Quarantined);
+
+    SECTION("other requests of the same route are not")
+    {
+        for (const auto change : { &ForwardRequest::m_method, &ForwardRequest::m_host, &ForwardRequest::m_target,
+                 &ForwardRequest::m_body }) {
+            ForwardExecution other = vm.execution(vm.m_single);
+            other.m_request.*change += "x";
+            CHECK(vm.start(other).m_sends.size() == 1);
+        }
+    }
+}
