Call an endpoint that refuses no sooner than it asks

An endpoint that refuses a call may name for how long it wants none. A VM kept to 5 s of it at most, so that an endpoint that asked for 90 s got 17 calls from each VM meanwhile, with few or many endpoints refusing. A refusal that does not say that the request has not run was not kept to at all.

--- a/src/libflamingo/routing/attempt.cpp
+++ b/src/libflamingo/routing/attempt.cpp
@@ -15,6 +15,15 @@
     return reply.m_outcome == CallOutcome::Answered && !reply.m_wrongEndpoint && !reply.m_rateLimitMalformed;
 }
 
+// Returns for how long the endpoint wants no further call. One that answers 503 may have run the request all the same.
+Milliseconds refusalTime(const EndpointReply& reply)
+{
+    constexpr unsigned unavailable = 503;
+    const bool refuses = reply.m_notRun || reply.m_status == unavailable;
+    return reply.m_outcome == CallOutcome::Answered && refuses && !reply.m_wrongEndpoint ? reply.m_retryAfter
+                                                                                         : Milliseconds(0);
+}
+
 // Precondition: the endpoint is known.
 void learnRateLimit(RoutingState& routing, const Attempt& attempt, const ServiceName& service,
     std::optional<RequestsPerSecond> limit, MonotonicTime now)
@@ -64,7 +73,7 @@
     end.m_suspect = attempt.m_suspect;
     end.m_probe = attempt.m_probe;
     if (reply) {
-        end.m_retryAfter = reply->m_retryAfter;
+        end.m_retryAfter = refusalTime(*reply);
         if (reply->m_outcome == CallOutcome::Answered)
             end.m_load = reply->m_load;
     }
--- a/src/libflamingo/routing/endpointstats.cpp
+++ b/src/libflamingo/routing/endpointstats.cpp
@@ -100,15 +100,15 @@
         stats.m_reportedLoad = std::clamp(*end.m_load, 0.0, 1.0);
     if (end.m_probe)
         stats.m_probing = false;
+    stats.m_refusedUntil = std::max(stats.m_refusedUntil, now + end.m_retryAfter);
     switch (end.m_verdict) {
     case CallVerdict::Answered:
         recordAnswer(stats, end, settings, now);
         break;
-    case CallVerdict::Shed: {
-        const Milliseconds wait = end.m_retryAfter.count() > 0 ? end.m_retryAfter : settings.m_defaultRetryAfter;
-        stats.m_refusedUntil = std::max(stats.m_refusedUntil, now + std::min(wait, settings.m_maxRetryAfter));
+    case CallVerdict::Shed:
+        if (end.m_retryAfter.count() == 0)
+            stats.m_refusedUntil = std::max(stats.m_refusedUntil, now + settings.m_defaultRetryAfter);
         break;
-    }
     case CallVerdict::NotReached:
     case CallVerdict::Disconnected:
         ++stats.m_consecutiveFailures;
--- a/src/libflamingo/routing/endpointstats.h
+++ b/src/libflamingo/routing/endpointstats.h
@@ -23,7 +23,7 @@
     std::uint32_t m_consecutiveFailures = 0;
     std::uint32_t m_consecutiveLostRaces = 0;
     std::uint32_t m_consecutiveAnswers = 0;
-    MonotonicTime m_refusedUntil {}; // from the retry delay of a Shed answer
+    MonotonicTime m_refusedUntil {}; // until then the endpoint wants no call, as its last refusal named
     EndpointRateLimit m_rateLimit;
     double m_reportedLoad = 0.0; // 0 to 1, reported by the endpoint; used only to break ties
     MonotonicTime m_rampStart {}; // when a new or readmitted endpoint started to ramp up; the epoch for none
@@ -56,7 +56,7 @@
 struct CallEnd {
     CallVerdict m_verdict = CallVerdict::Abandoned;
     Microseconds m_elapsed { 0 };
-    Milliseconds m_retryAfter { 0 }; // from a Shed answer
+    Milliseconds m_retryAfter { 0 }; // for how long the endpoint wants no call, as its answer names; 0 if it names none
     std::optional<double> m_load; // 0 to 1, reported in the answer
     bool m_suspect = false; // the call is counted in m_suspectCalls
     bool m_probe = false; // result of recordCallSent()
--- a/src/libflamingo/routing/routingsettings.h
+++ b/src/libflamingo/routing/routingsettings.h
@@ -47,9 +47,8 @@
     Milliseconds m_rampDuration { 5000 };
     double m_rampStartShare = 0.1;
 
-    // Retry delay after a Shed answer that gives none, and the maximum that is respected.
+    // Retry delay after a Shed answer that gives none.
     Milliseconds m_defaultRetryAfter { 20 };
-    Milliseconds m_maxRetryAfter { 5000 };
 
     double m_hedgeQuantile = 0.95;
     Microseconds m_minHedgeDelay { 1000 };
