Stop calls to an endpoint that says in an answer that it leaves

An endpoint that leaves says so in its answers, before or beside its heartbeat. VMs called it until the control VMs had published the heartbeat; a VM that got the answer through another one did not learn it at all.

Cause: the header was passed on to callers as any other and read by nobody. VMs that serve or merge for others name such endpoints in a header of their answers, which VMs of the former version ignore.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -385,6 +385,7 @@
 void ForwardLoop::tick()
 {
     logRateLimitChanges(m_state.m_routing.m_rateLimitReport);
+    logLeavingEndpoints();
     const MonotonicTime now = monotonicNow();
     if (m_lease->valid(now))
         m_confirmedAt = now;
@@ -398,6 +399,14 @@
         { "route_version", std::to_string(m_state.m_header.m_version.value()) });
 }
 
+void ForwardLoop::logLeavingEndpoints()
+{
+    m_leavingNamed += m_state.m_routing.m_newlyLeaving.size();
+    for (const EndpointLifetime& endpoint : std::exchange(m_state.m_routing.m_newlyLeaving, {}))
+        FLAMINGO_LOG(Info, "endpoint leaving named", { "endpoint", endpoint.m_id.value() },
+            { "incarnation", std::to_string(endpoint.m_incarnation.value()) });
+}
+
 void ForwardLoop::observeMetrics(MetricsRegistry& metrics)
 {
     const auto observe = [&](const char* name, const char* help, std::function<double()> read) {
@@ -417,6 +426,8 @@
         [this] { return double(m_state.m_routing.m_rateLimitReport.m_ended); });
     observe("flamingo_endpoint_rate_limited_calls_total", "Calls to endpoints that named a rate limit.",
         [this] { return double(m_state.m_routing.m_rateLimitReport.m_calls); });
+    observe("flamingo_endpoint_leaving_named_total", "Endpoints that said in an answer that they leave.",
+        [this] { return double(m_leavingNamed); });
     observe("flamingo_endpoint_rate_limit_passed_over_total",
         "Times that an endpoint was not chosen, since this VM had sent its share of the rate limit.",
         [this] { return double(m_state.m_routing.m_rateLimitReport.m_passedOver); });
--- a/src/libflamingo/daemon/forwardloop.h
+++ b/src/libflamingo/daemon/forwardloop.h
@@ -71,6 +71,7 @@
     void testConnections();
     void scheduleTick();
     void tick();
+    void logLeavingEndpoints();
     void observeMetrics(MetricsRegistry& metrics);
 
     const Settings& m_settings;
@@ -83,6 +84,7 @@
     std::size_t m_relaysInFlight = 0; // requests that this VM serves for others
     std::uint64_t m_relaysServed = 0;
     std::uint64_t m_relaysRefused = 0;
+    std::uint64_t m_leavingNamed = 0; // endpoints that said in an answer that they leave
     EndpointClient m_endpointClient;
     EndpointClient m_mergeClient; // to other VMs that merge shards
     ForwardRunner m_runner;
--- a/src/libflamingo/endpoint/endpointcall.h
+++ b/src/libflamingo/endpoint/endpointcall.h
@@ -3,12 +3,14 @@
 #include "base/ids.h"
 #include "base/rate.h"
 #include "base/time.h"
+#include "endpoint/endpointlifetime.h"
 #include "http/httpfield.h"
 
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace flamingo {
 
@@ -66,6 +68,8 @@
     bool m_rateLimitMalformed = false; // the answer names a limit that cannot be read
     // From a VM that returns a request: how many of the attempts granted to it ran or may have run.
     std::optional<std::uint32_t> m_usedAttempts;
+    bool m_leaving = false; // the endpoint says that it leaves and wants no further calls
+    std::vector<EndpointLifetime> m_leavingEndpoints; // from a VM: endpoints that said so in answers to its calls
     bool m_wrongEndpoint = false; // another endpoint answered at the address; it did not run the request
     std::string m_receipt; // receipt header, passed on so that the caller can recognise the endpoint's answer
     HttpFields m_fields; // HTTP headers that a forwarded answer passes on
--- a/src/libflamingo/forward/forwardanswer.h
+++ b/src/libflamingo/forward/forwardanswer.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/resultcode.h"
 #include "base/time.h"
+#include "endpoint/endpointlifetime.h"
 #include "http/httpfield.h"
 
 #include <cstdint>
@@ -34,6 +35,7 @@
     Milliseconds m_retryAfter { 100 }; // sent with a refusal
     bool m_cutOff = false; // the VM that served a relayed request lost its links; another VM may serve it
     std::uint32_t m_usedAttempts = 0; // most attempts for one shard that ran or may have run
+    std::vector<EndpointLifetime> m_leavingEndpoints; // that said so in answers to calls for this request
     std::uint32_t m_calls = 0; // number of calls, hedges and retries included
 };
 
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -77,7 +77,9 @@
         if (verdict == CallVerdict::Answered && !part.callsVm())
             addLatency(m_state.m_latencies[m_route.m_key],
                 std::chrono::duration_cast<Microseconds>(m_now - call.m_attempt.m_sentAt), m_now);
-        if (!part.callsVm())
+        if (part.callsVm())
+            learnLeavingEndpoints(reply);
+        else
             learnFromRun(call, part.m_service, reply);
         unblockWaiting(routing, call.m_attempt.m_endpoint);
         if (m_execution.m_finished || part.m_state != ForwardPart::State::Open)
@@ -184,8 +186,19 @@
             [](const ForwardPart& part) { return part.m_relay; });
     }
 
+    // The other VM has passed on answers of endpoints that leave. This VM passes them on to its caller.
+    void learnLeavingEndpoints(const EndpointReply& reply)
+    {
+        for (const EndpointLifetime& endpoint : reply.m_leavingEndpoints) {
+            learnLeaving(m_state.m_routing, endpoint);
+            m_execution.m_leavingEndpoints.push_back(endpoint);
+        }
+    }
+
     void learnFromRun(const ForwardCall& call, const ServiceName& service, const EndpointReply& reply)
     {
+        if (reply.m_leaving && !reply.m_wrongEndpoint)
+            m_execution.m_leavingEndpoints.push_back({ call.m_attempt.m_endpointId, call.m_attempt.m_incarnation });
         const bool ofThisRequest = reply.m_request.value().empty() || reply.m_request == m_execution.m_request.m_id;
         if (reply.m_outcome == CallOutcome::Answered && !reply.m_notRun && !reply.m_wrongEndpoint && ofThisRequest)
             m_effects.m_clearSuspect = recordSurvival(m_state, m_execution);
--- a/src/libflamingo/forward/forwardexecution.h
+++ b/src/libflamingo/forward/forwardexecution.h
@@ -81,6 +81,7 @@
     std::optional<ForwardAnswer> m_relayedAnswer; // answer of the VM that served a request without shards
     // Set on a merging VM after an incomplete answer: the execution can be resumed until this time.
     std::optional<MonotonicTime> m_pausedUntil;
+    std::vector<EndpointLifetime> m_leavingEndpoints; // that said so in answers to calls of this execution
     // Whether the request crashes endpoints, see crashsuspects.h.
     Fingerprint m_fingerprint;
     bool m_survived = false; // an endpoint answered after running the request
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -23,6 +23,7 @@
     answer.m_calls = static_cast<std::uint32_t>(execution.m_calls.size());
     // A VM that does not count attempts over all VMs would let the next one start from zero.
     answer.m_cutOff = execution.m_cutOff && execution.m_request.m_attemptsGranted;
+    answer.m_leavingEndpoints = execution.m_leavingEndpoints;
     for (const ForwardPart& part : execution.m_parts)
         answer.m_usedAttempts = std::max(answer.m_usedAttempts, part.m_attempts.m_used);
     return answer;
--- a/src/libflamingo/forward/mergewire.cpp
+++ b/src/libflamingo/forward/mergewire.cpp
@@ -49,6 +49,10 @@
         reply.m_retryAfter = detail::readMilliseconds(value);
     else if (name == detail::usedAttemptsField)
         reply.m_usedAttempts = detail::readAttempts(value);
+    else if (name == detail::leavingEndpointField) {
+        if (auto endpoint = detail::readLeavingEndpoint(value))
+            reply.m_leavingEndpoints.push_back(std::move(*endpoint));
+    }
 }
 
 // Precondition: the JSON is an array of callFieldCount values. Throws an exception for a value of a wrong type.
@@ -158,6 +162,7 @@
 HttpResponse encodeMergeAnswer(const ForwardAnswer& answer)
 {
     HttpResponse response;
+    detail::appendLeavingEndpoints(response, answer.m_leavingEndpoints);
     if (answer.m_kind != ForwardAnswer::Kind::Merged) {
         constexpr unsigned unavailable = 503;
         constexpr unsigned failed = 502;
--- a/src/libflamingo/forward/relaywire.cpp
+++ b/src/libflamingo/forward/relaywire.cpp
@@ -170,6 +170,7 @@
 HttpResponse encodeRelayAnswer(const ForwardAnswer& answer)
 {
     HttpResponse response;
+    detail::appendLeavingEndpoints(response, answer.m_leavingEndpoints);
     if (answer.m_kind == ForwardAnswer::Kind::Error && resultClass(answer.m_code) == ResultClass::NotRun) {
         constexpr unsigned unavailable = 503;
         response.m_status = unavailable;
--- a/src/libflamingo/forward/vmmessage.cpp
+++ b/src/libflamingo/forward/vmmessage.cpp
@@ -2,6 +2,7 @@
 
 #include "base/cborcheck.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace flamingo::detail {
@@ -12,6 +13,8 @@
 constexpr std::size_t maxDepth = 3;
 // Holds the shards of a group and the headers of a caller's request.
 constexpr std::size_t maxItems = 100000;
+// Keeps the headers of an answer well below what a client reads. The others are learned from further answers.
+constexpr std::size_t maxLeavingEndpoints = 32;
 
 } // namespace
 
@@ -43,6 +46,25 @@
 
 Milliseconds readTimeLeft(const HttpRequest& http) { return readMilliseconds(findField(http.m_fields, deadlineField)); }
 
+void appendLeavingEndpoints(HttpResponse& response, const std::vector<EndpointLifetime>& endpoints)
+{
+    for (std::size_t index = 0; index < std::min(endpoints.size(), maxLeavingEndpoints); ++index)
+        response.m_fields.push_back({ leavingEndpointField,
+            std::to_string(endpoints[index].m_incarnation.value()) + " " + endpoints[index].m_id.value() });
+}
+
+std::optional<EndpointLifetime> readLeavingEndpoint(std::string_view text)
+{
+    const std::size_t space = text.find(' ');
+    if (space == std::string_view::npos || space + 1 == text.size())
+        return std::nullopt;
+    std::uint64_t incarnation = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + space, incarnation);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + space)
+        return std::nullopt;
+    return EndpointLifetime { EndpointId(std::string(text.substr(space + 1))), Incarnation(incarnation) };
+}
+
 void appendRefusal(HttpResponse& response, Milliseconds retryAfter)
 {
     response.m_fields.push_back({ notRunField, "1" });
--- a/src/libflamingo/forward/vmmessage.h
+++ b/src/libflamingo/forward/vmmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "endpoint/endpointlifetime.h"
 #include "http/httpmessages.h"
 
 #include <nlohmann/json.hpp>
@@ -24,6 +25,8 @@
 // Attempts for each shard that the called VM may make, and those that it made before it returned the request.
 inline constexpr char grantedAttemptsField[] = "X-Flamingo-Granted-Attempts";
 inline constexpr char usedAttemptsField[] = "X-Flamingo-Used-Attempts";
+// An endpoint that leaves: its incarnation, a space and its id. May appear more than once.
+inline constexpr char leavingEndpointField[] = "X-Flamingo-Leaving-Endpoint";
 
 /** Parses a message; the result is discarded if it is malformed or nested too deeply for nlohmann's parser. */
 nlohmann::json parseMessage(const std::string& body);
@@ -48,6 +51,12 @@
 /** Parses a number of attempts; returns nothing if it is malformed. */
 std::optional<std::uint32_t> readAttempts(std::string_view text);
 
+/** Names the endpoints that said in answers that they leave. */
+void appendLeavingEndpoints(HttpResponse& response, const std::vector<EndpointLifetime>& endpoints);
+
+/** Parses one of these endpoints; returns nothing if it is malformed. */
+std::optional<EndpointLifetime> readLeavingEndpoint(std::string_view text);
+
 /** Marks the response as a refusal: the request has not run. */
 void appendRefusal(HttpResponse& response, Milliseconds retryAfter);
 
--- a/src/libflamingo/routing/attempt.cpp
+++ b/src/libflamingo/routing/attempt.cpp
@@ -77,6 +77,8 @@
         if (reply->m_outcome == CallOutcome::Answered)
             end.m_load = reply->m_load;
     }
+    if (reply && reply->m_leaving && !reply->m_wrongEndpoint)
+        learnLeaving(routing, { attempt.m_endpointId, attempt.m_incarnation });
     ServiceStats& learned = serviceStats(routing, service);
     const bool ranLong = end.m_elapsed >= hedgeDelay(learned.m_latency, routing.m_settings);
     const bool timedOut = reply && reply->m_outcome == CallOutcome::TimedOut;
--- a/src/libflamingo/routing/routingstate.cpp
+++ b/src/libflamingo/routing/routingstate.cpp
@@ -98,6 +98,12 @@
     return oldest;
 }
 
+void learnLeaving(RoutingState& routing, const EndpointLifetime& endpoint)
+{
+    if (recordLeaving(routing.m_table, *routing.m_state, endpoint.m_id, endpoint.m_incarnation))
+        routing.m_newlyLeaving.push_back(endpoint);
+}
+
 void forgetFailuresSince(RoutingState& routing, MonotonicTime since)
 {
     for (EndpointStats& stats : routing.m_endpoints) {
--- a/src/libflamingo/routing/routingstate.h
+++ b/src/libflamingo/routing/routingstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "endpoint/endpointlifetime.h"
 #include "routing/endpointratelimit.h"
 #include "routing/endpointstats.h"
 #include "routing/extraloadbudget.h"
@@ -54,6 +55,7 @@
     std::uint64_t m_lastGeneration = 0; // newest EndpointStats::m_generation
     std::map<ServiceName, ServiceStats> m_services;
     RateLimitReport m_rateLimitReport;
+    std::vector<EndpointLifetime> m_newlyLeaving; // endpoints that said so in an answer since the owner last looked
 };
 
 /** Returns a state without endpoints for the daemon that the settings name. */
@@ -80,6 +82,9 @@
 /** Returns the execution that has waited longest for a shard of the endpoint, or nullopt. */
 std::optional<ExecutionId> longestWaiting(const RoutingState& routing, EndpointIndex endpoint);
 
+/** Stops calls to an endpoint that says in its answers that it leaves. Precondition: a state was applied. */
+void learnLeaving(RoutingState& routing, const EndpointLifetime& endpoint);
+
 /** Readmits endpoints ejected since the time and forgets their failures, which were not theirs. */
 void forgetFailuresSince(RoutingState& routing, MonotonicTime since);
 
--- a/src/libflamingo/routing/routingtable.cpp
+++ b/src/libflamingo/routing/routingtable.cpp
@@ -106,10 +106,21 @@
     return index;
 }
 
+// Far more than the endpoints that leave within the life of one.
+constexpr std::size_t maxLeaving = 4096;
+
+bool isDraining(const RoutingTable& table, const PublishedState& state, const EndpointRoute& route, bool announced)
+{
+    if (announced || state.m_operatorDrains.count(route.m_id) > 0)
+        return true;
+    const auto leaving = table.m_leaving.find(route.m_id);
+    return leaving != table.m_leaving.end() && leaving->second == route.m_incarnation;
+}
+
 void refreshDraining(RoutingTable& table, const PublishedState& state, EndpointIndex index, bool announced)
 {
     EndpointRoute& route = routeAt(table, index);
-    const bool draining = announced || state.m_operatorDrains.count(route.m_id) > 0;
+    const bool draining = isDraining(table, state, route, announced);
     if (draining == route.m_draining)
         return;
     route.m_draining = draining;
@@ -180,7 +191,7 @@
     route.m_incarnation = record.m_incarnation;
     route.m_registeredIn = record.m_registeredIn;
     route.m_holdings = distinctHoldings(record.m_holdings);
-    route.m_draining = record.m_draining || state.m_operatorDrains.count(record.m_id) > 0;
+    route.m_draining = isDraining(table, state, route, record.m_draining);
     route.m_present = true;
     route.m_routed = record.m_routed;
     refreshLimits(table, route, record);
@@ -392,6 +403,21 @@
     return std::max(1U, std::min(vms, route.m_connections));
 }
 
+bool recordLeaving(
+    RoutingTable& table, const PublishedState& state, const EndpointId& endpoint, Incarnation incarnation)
+{
+    const auto known = table.m_leaving.find(endpoint);
+    if (known != table.m_leaving.end() && known->second == incarnation)
+        return false;
+    if (known == table.m_leaving.end() && table.m_leaving.size() >= maxLeaving)
+        table.m_leaving.erase(table.m_leaving.begin());
+    table.m_leaving[endpoint] = incarnation;
+    const auto position = table.m_positions.find(endpoint);
+    if (position != table.m_positions.end() && routeAt(table, position->second).m_incarnation == incarnation)
+        refreshDraining(table, state, position->second, true);
+    return true;
+}
+
 std::uint32_t endpointShare(RoutingTable& table, EndpointIndex endpoint)
 {
     EndpointRoute& route = routeAt(table, endpoint);
--- a/src/libflamingo/routing/routingtable.h
+++ b/src/libflamingo/routing/routingtable.h
@@ -31,7 +31,7 @@
     std::uint32_t m_connections = 1; // limit for all VMs together
     std::uint32_t m_share = 0; // connections of this daemon; valid while m_shareGeneration is current
     std::uint64_t m_shareGeneration = 0; // RoutingTable::m_vmGeneration that m_share is for; 0 for none
-    bool m_draining = false; // set by the endpoint or by an operator
+    bool m_draining = false; // announced by the endpoint, said in its answers, or set by an operator
     bool m_present = false; // false if the position is unused
 };
 
@@ -73,6 +73,9 @@
     std::unordered_map<ServiceName, std::uint32_t> m_sharingVmCounts;
     // Number of VMs that call a service's endpoints, for services that not all VMs call.
     std::unordered_map<ServiceName, std::uint32_t> m_callingVmCounts;
+    // Endpoints that said in an answer that they leave. Remembered also while they are not in the published state,
+    // which learns later that they leave.
+    std::map<EndpointId, Incarnation> m_leaving;
     std::uint64_t m_lastLayoutGeneration = 0; // newest SnapshotRoutes::m_generation
     std::uint64_t m_vmHash = 0; // hash of this daemon's name
     std::vector<std::uint64_t> m_vmHashes; // hashes of the names of admitted VMs, including VMs that left recently
@@ -97,6 +100,14 @@
 void updateRoutingTable(RoutingTable& table, const PublishedState& state, const std::vector<Change>& changes,
     const EndpointArrivalHandler& onArrival);
 
+/**
+ * Records that an endpoint leaves, as it says in its answers: it gets no more calls in this lifetime.
+ *
+ * The state is the one that the table was updated to. Returns false if that is known already.
+ */
+bool recordLeaving(
+    RoutingTable& table, const PublishedState& state, const EndpointId& endpoint, Incarnation incarnation);
+
 /**
  * Returns the connections that this daemon may have to the endpoint.
  *
