Refuse requests that a planned stop leaves no time for, and answer all others

Operators report that in a planned stop requests that came late in the grace period were passed on and cut off at its end without an answer, also ones that may run only once.

Cause: the deadline of a request did not know of the stop, and a VM that stops served whatever it had read.

The deadlines of all requests are cut to shortly before the end, so that each gets an answer.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -20,8 +20,6 @@
 
 constexpr Milliseconds tickInterval { 100 };
 constexpr Milliseconds drainPollInterval { 20 };
-// The process ends this long before the end of the grace period, so that it is not killed while it closes.
-constexpr Milliseconds graceMargin { 500 };
 // A reachable endpoint completes the connection handshake well within this time.
 constexpr Milliseconds connectTimeout { 500 };
 // A merging VM that is not connected by then counts as unreachable; another owner of the group can still answer within
@@ -44,6 +42,8 @@
 constexpr std::size_t minRelaysInFlight = 32;
 constexpr std::size_t maxRelaysPerOwnRequest = 2;
 
+constexpr char stoppingText[] = "this VM stops before the request could be answered";
+
 EndpointClientSettings mergeClientSettings()
 {
     EndpointClientSettings settings;
@@ -119,11 +119,12 @@
 {
     if (!m_thread.joinable())
         return;
-    const MonotonicTime end = monotonicNow() + grace - std::min(graceMargin, grace);
-    runOnLoop([this] {
-        m_stopping = true;
+    const ShutdownPlan plan = makeShutdownPlan(monotonicNow(), grace);
+    runOnLoop([this, &plan] {
+        m_shutdown = plan;
         m_callerServer.announceClose();
         m_mergeServer.announceClose();
+        m_runner.answerAllBy(plan.m_answerBy);
     });
     std::this_thread::sleep_for(std::min(m_settings.m_routes.m_drainWait, grace));
     runOnLoop([this] {
@@ -133,7 +134,7 @@
     // A connection that is still open has a request that is half received or in flight, or an answer that is not sent
     // completely.
     std::uint64_t open = 1;
-    while (open > 0 && monotonicNow() < end) {
+    while (open > 0 && monotonicNow() < plan.m_endAt) {
         std::this_thread::sleep_for(drainPollInterval);
         runOnLoop([this, &open] {
             open = m_callerServer.counters().m_connectionsOpen + m_mergeServer.counters().m_connectionsOpen;
@@ -238,7 +239,11 @@
         reason = { ResultCode::NoEndpoint, "this VM cannot reach the endpoints either" };
     else if (m_relaysInFlight >= std::max(minRelaysInFlight, own * maxRelaysPerOwnRequest))
         reason = { ResultCode::Overloaded, "this VM serves as many requests of others as it can" };
-    const bool accepted = reason.m_text.empty() && decodeRelayCall(exchange->request(), request, reason);
+    bool accepted = reason.m_text.empty() && decodeRelayCall(exchange->request(), request, reason);
+    if (accepted && refusesWhileStopping(request.m_timeLeft)) {
+        accepted = false;
+        reason = { ResultCode::Stopping, stoppingText };
+    }
     if (!accepted) {
         ++m_relaysRefused;
         FLAMINGO_LOG(Info, "relayed request refused", { "request_id", request.m_id.value() },
@@ -274,7 +279,12 @@
         exchange->respond(encodeMergeAnswer(answer));
         return;
     }
-    if (!decodeMergeCall(exchange->request(), request, reason)) {
+    bool accepted = decodeMergeCall(exchange->request(), request, reason);
+    if (accepted && refusesWhileStopping(request.m_timeLeft)) {
+        accepted = false;
+        reason = { ResultCode::Stopping, stoppingText };
+    }
+    if (!accepted) {
         FLAMINGO_LOG(Warning, "merge call refused", { "reason", reason.m_text });
         ForwardAnswer answer;
         answer.m_code = reason.m_code;
@@ -296,6 +306,13 @@
     return std::nullopt;
 }
 
+bool ForwardLoop::refusesWhileStopping(Milliseconds timeout)
+{
+    const bool refuses = m_shutdown && !acceptsRequest(*m_shutdown, timeout, monotonicNow());
+    m_refusedWhileStopping += refuses ? 1 : 0;
+    return refuses;
+}
+
 void ForwardLoop::handleRequest(const std::shared_ptr<HttpExchange>& exchange)
 {
     ForwardRequest request;
@@ -308,6 +325,8 @@
     request.m_route = findRoute(m_state.m_routes, request.m_host, request.m_target);
     if (!request.m_route)
         return refuse(*exchange, request.m_id, ResultCode::UnknownRoute, "no route matches this host and path");
+    if (refusesWhileStopping(request.m_route->m_timeout))
+        return refuse(*exchange, request.m_id, ResultCode::Stopping, stoppingText);
     request.m_version = m_state.m_header.m_version;
     const ExecutionId id = m_runner.start(std::move(request),
         [this, exchange](ForwardAnswer answer) { exchange->respond(m_protocol.m_writeAnswer(std::move(answer))); });
@@ -330,7 +349,7 @@
 
 void ForwardLoop::handleProbe(HttpExchange& exchange)
 {
-    exchange.respond(m_protocol.m_writeHealth(exchange.request(), !m_stopping && !refusal()));
+    exchange.respond(m_protocol.m_writeHealth(exchange.request(), !m_shutdown && !refusal()));
 }
 
 void ForwardLoop::checkReachability(MonotonicTime now)
@@ -450,6 +469,9 @@
         [this] { return double(m_relaysServed); });
     observe("flamingo_forward_relays_refused_total", "Requests of cut-off VMs that this VM refused.",
         [this] { return double(m_relaysRefused); });
+    observe("flamingo_forward_refused_while_stopping_total",
+        "Requests refused since a planned stop left no time to serve them.",
+        [this] { return double(m_refusedWhileStopping); });
     observe("flamingo_forward_handler_failures_total", "Requests answered with status 500 after an unexpected error.",
         [this] {
             return double(m_callerServer.counters().m_failedRequests + m_mergeServer.counters().m_failedRequests);
--- a/src/libflamingo/daemon/forwardloop.h
+++ b/src/libflamingo/daemon/forwardloop.h
@@ -6,6 +6,7 @@
 #include "daemon/forwardrunner.h"
 #include "endpoint/endpointclient.h"
 #include "forward/callerprotocol.h"
+#include "forward/shutdownplan.h"
 #include "http/httpserver.h"
 #include "settings/settings.h"
 
@@ -13,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -38,7 +40,8 @@
     /**
      * Shuts down gracefully: fails the load balancer's probes, continues to serve for the drain wait of the settings,
      * so that the balancer notices, closes the ports and waits for the requests in flight. Takes at most the grace
-     * period.
+     * period. A request that arrives too late to be served is refused, and one that is in flight shortly before the end
+     * fails, so that no connection is closed without an answer.
      */
     void shutDown(Milliseconds grace);
 
@@ -66,6 +69,7 @@
     void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
     void refuse(HttpExchange& exchange, const RequestId& id, ResultCode code, const char* text);
     std::optional<Reason> refusal() const;
+    bool refusesWhileStopping(Milliseconds timeout);
     void handleProbe(HttpExchange& exchange);
     void checkReachability(MonotonicTime now);
     void testConnections();
@@ -94,7 +98,8 @@
     std::set<EndpointId> m_connected; // endpoints whose limits are set in m_endpointClient
     MonotonicTime m_confirmedAt; // when a leader last confirmed the state, as far as known
     bool m_stateFresh = false; // whether the state was confirmed within the stale limit, as of the last tick
-    bool m_stopping = false;
+    std::optional<ShutdownPlan> m_shutdown; // set once a planned stop has begun
+    std::uint64_t m_refusedWhileStopping = 0;
     std::thread m_thread;
 };
 
--- a/src/libflamingo/daemon/forwardrunner.cpp
+++ b/src/libflamingo/daemon/forwardrunner.cpp
@@ -282,6 +282,14 @@
         wake(execution);
 }
 
+void ForwardRunner::answerAllBy(MonotonicTime time)
+{
+    m_state.m_answerAllBy = time;
+    for (const auto& [id, running] : m_running)
+        running->m_execution.m_deadline = std::min(running->m_execution.m_deadline, time);
+    reconsiderAll();
+}
+
 void ForwardRunner::finish(const RunningPtr& running, ForwardAnswer answer)
 {
     running->m_timer.cancel();
--- a/src/libflamingo/daemon/forwardrunner.h
+++ b/src/libflamingo/daemon/forwardrunner.h
@@ -72,6 +72,9 @@
     /** Tells the control VMs which quarantined requests this VM knows as harmless. Called after each new quarantine. */
     void clearWronglyQuarantined();
 
+    /** Answers all requests by the time at the latest, those that start later included. */
+    void answerAllBy(MonotonicTime time);
+
     /** Returns the number of requests that are not yet answered. */
     std::size_t inFlight() const { return m_running.size(); }
 
--- a/src/libflamingo/forward/forwardstart.cpp
+++ b/src/libflamingo/forward/forwardstart.cpp
@@ -77,6 +77,8 @@
     // Limits the reserve to a quarter, so that a short timeout is not used up by it.
     allowed -= std::min(settings.m_deadlineReserve, allowed / 4);
     execution.m_deadline = request.m_receivedAt + allowed;
+    if (state.m_answerAllBy)
+        execution.m_deadline = std::min(execution.m_deadline, *state.m_answerAllBy);
     if (request.m_goalLeft && route.m_goal.count() > 0) {
         execution.m_goalAt = request.m_receivedAt + *request.m_goalLeft;
         return;
--- a/src/libflamingo/forward/forwardstate.h
+++ b/src/libflamingo/forward/forwardstate.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace flamingo {
@@ -34,6 +35,8 @@
     EndpointReachability m_reachability;
     RoutingState m_relays; // VMs that may serve requests of this one, see relayplan.h. Updated by updateRelays().
 
+    std::optional<MonotonicTime> m_answerAllBy; // in a planned stop: no request is left without an answer then
+
     // Recent delay between the planned and the actual time of answers that were due at the goal.
     Microseconds m_goalLag { 2000 };
 };
