--- a/src/libflamingo/endpoint/tests/endpointanswers.cpp
+++ b/src/libflamingo/endpoint/tests/endpointanswers.cpp
@@ -312,3 +312,45 @@
         }
     }
 }
+
+// Guards against an answer that breaks off, in its head too, and reaches the caller as a complete success.
+TEST_CASE("an answer that breaks off at any byte is no answer", "[endpoint]")
+{
+    const bool closeEndsAnswer = GENERATE(false, true);
+    const bool reset = GENERATE(false, true);
+    CAPTURE(closeEndsAnswer, reset);
+    EndpointClientFixture fixture(closeEndsAnswer ? protocolWithoutLengths() : snapshotProtocol());
+    Reaction reaction;
+    reaction.m_close = true;
+    reaction.m_reset = reset;
+    TestServer server(fixture.m_context, [&](const HttpRequest&) { return reaction; });
+    fixture.m_port = server.port();
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Flamingo-Load: 0.5\r\n";
+    std::string whole;
+    std::size_t complete = 0; // bytes from which on the answer is complete
+    SECTION("with a length")
+    {
+        whole = head + "Content-Length: 11\r\n\r\n{\"a\":\"bcd\"}";
+        complete = whole.size();
+    }
+    SECTION("in chunks")
+    {
+        whole = head + "Transfer-Encoding: chunked\r\n\r\n6\r\n{\"a\":\"\r\n5\r\nbcd\"}\r\n0\r\n\r\n";
+        complete = whole.size();
+    }
+    SECTION("without a length, where the close ends the body and a reset does not")
+    {
+        whole = head + "\r\n{\"a\"}";
+        complete = closeEndsAnswer && !reset ? head.size() + 2 : whole.size() + 1;
+    }
+    for (std::size_t bytes = 0; bytes <= whole.size(); ++bytes) {
+        reaction.m_bytes = whole.substr(0, bytes);
+        fixture.start(fixture.call());
+        fixture.awaitReplies(bytes + 1);
+        const bool answered = fixture.m_replies.back().m_outcome == CallOutcome::Answered;
+        CAPTURE(bytes);
+        // A reset may arrive before the bytes that were sent ahead of it are read.
+        if (bytes < complete || !reset)
+            CHECK(answered == (bytes >= complete));
+    }
+}
--- a/src/libflamingo/forward/tests/placementtest.cpp
+++ b/src/libflamingo/forward/tests/placementtest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 #include <algorithm>
 
 using namespace flamingo;
@@ -165,3 +167,16 @@
         CHECK(play(20, Milliseconds(10), Milliseconds(10)) == 0.0);
     }
 }
+
+// Guards against an endpoint that is never called since its number of slots wraps.
+TEST_CASE("an endpoint that claims an absurd number of slots is called", "[forward]")
+{
+    ForwardFixture vm(1);
+    for (auto& [id, record] : vm.m_published.m_endpoints)
+        record.m_slots = std::numeric_limits<std::uint32_t>::max();
+    vm.apply();
+    for (int number = 0; number < 5; ++number) {
+        ForwardExecution execution = vm.execution(vm.m_single);
+        CHECK(vm.start(execution).m_sends.size() == 1);
+    }
+}
--- a/src/libflamingo/routing/endpointchoice.cpp
+++ b/src/libflamingo/routing/endpointchoice.cpp
@@ -35,14 +35,15 @@
 std::uint32_t callLimit(RoutingState& routing, EndpointIndex index)
 {
     const EndpointRoute& route = routeOf(routing, index);
-    std::uint32_t limit = route.m_slots + routing.m_settings.m_callsBeyondSlots;
+    // In 64 bits, since an endpoint may claim any number of slots.
+    std::uint64_t limit = std::uint64_t { route.m_slots } + routing.m_settings.m_callsBeyondSlots;
     if (routing.m_settings.m_callsPerSlot > 0.0) {
         const double allVmCalls = routing.m_settings.m_callsPerSlot * route.m_slots;
         const auto vmCalls
-            = static_cast<std::uint32_t>(std::ceil(allVmCalls / sharingVms(routing.m_table, route.m_service)));
-        limit = std::min(limit, std::max(1U, vmCalls));
+            = static_cast<std::uint64_t>(std::ceil(allVmCalls / sharingVms(routing.m_table, route.m_service)));
+        limit = std::min(limit, std::max<std::uint64_t>(1, vmCalls));
     }
-    return std::min(limit, endpointShare(routing.m_table, index));
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(limit, endpointShare(routing.m_table, index)));
 }
 
 bool isAtCallLimit(RoutingState& routing, EndpointIndex index)
