Set no timer in the past after a cut, and split what had grown large

A query that can no longer reach its minimum answered share was still handed over before it failed.

One copy of the question whether a request may have run.

--- a/src/libflamingo/endpoint/connectionpool.h
+++ b/src/libflamingo/endpoint/connectionpool.h
@@ -32,4 +32,14 @@
     bool hasRoom() const { return m_connections.size() < m_limits.m_maxConnections; }
 };
 
+/**
+ * Returns the idle connection that was used last, or null if there is none. Not thread-safe.
+ *
+ * With recentlyActive set, also returns null if that connection has not connected or answered recently.
+ */
+HttpConnection* findIdle(const ConnectionPool& pool, bool recentlyActive);
+
+/** Removes the connection from the idle ones, if it is one of them. Not thread-safe. */
+void removeIdle(ConnectionPool& pool, const HttpConnection& connection);
+
 } // namespace flamingo::detail
--- a/src/libflamingo/endpoint/endpointclient.cpp
+++ b/src/libflamingo/endpoint/endpointclient.cpp
@@ -25,9 +25,6 @@
 
 namespace {
 
-// A connection that connected or answered within this time is assumed to work.
-constexpr Milliseconds recentActivityPeriod { 1000 };
-
 Microseconds elapsedSince(MonotonicTime start)
 {
     return std::chrono::duration_cast<Microseconds>(monotonicNow() - start);
@@ -41,26 +38,6 @@
     return reply;
 }
 
-/**
- * Returns the idle connection that was used last, or null if there is none.
- *
- * With recentlyActive set, also returns null if that connection was not active within recentActivityPeriod.
- */
-HttpConnection* findIdle(const ConnectionPool& pool, bool recentlyActive)
-{
-    if (pool.m_idle.empty())
-        return nullptr;
-    HttpConnection* newest = pool.m_idle.back();
-    if (recentlyActive && monotonicNow() - newest->ownerData().m_lastActiveAt > recentActivityPeriod)
-        return nullptr;
-    return newest;
-}
-
-void removeIdle(ConnectionPool& pool, const HttpConnection& connection)
-{
-    pool.m_idle.erase(std::remove(pool.m_idle.begin(), pool.m_idle.end(), &connection), pool.m_idle.end());
-}
-
 } // namespace
 
 class EndpointClient::Impl final : public detail::HttpConnectionOwner {
--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -1,12 +1,13 @@
 #include "forward/forwardexecution.h"
 
+#include "forward/calltimes.h"
 #include "forward/crashsuspects.h"
 #include "forward/forwardfinish.h"
 #include "forward/forwardstart.h"
 #include "forward/handover.h"
 #include "forward/mergeplan.h"
 #include "forward/mergewire.h"
-#include "forward/placement.h"
+#include "forward/partplacement.h"
 #include "forward/relayplan.h"
 #include "forward/relaywire.h"
 
@@ -26,13 +27,6 @@
     Retry, // after a call that failed or may have run
 };
 
-RoutingState& routingOfPart(ForwardState& state, const ForwardPart& part)
-{
-    if (part.m_relay || part.m_otherVm)
-        return state.m_relays;
-    return part.m_group.empty() ? state.m_routing : state.m_mergers;
-}
-
 /** Applies one event to an execution and collects the resulting effects. */
 class ForwardStep {
 public:
@@ -107,10 +101,7 @@
     {
         m_execution.m_pausedUntil.reset();
         m_execution.m_goalAt = m_now + goalLeft;
-        for (ForwardPart& part : m_execution.m_parts) {
-            if (part.m_state == ForwardPart::State::Open && part.m_openCalls == 0)
-                part.m_retryAt = m_now;
-        }
+        retryIdleParts();
         handleTimer();
     }
 
@@ -164,6 +155,14 @@
     }
 
 private:
+    void retryIdleParts()
+    {
+        for (ForwardPart& part : m_execution.m_parts) {
+            if (part.m_state == ForwardPart::State::Open && part.m_openCalls == 0)
+                part.m_retryAt = m_now;
+        }
+    }
+
     RoutingState& routingOf(const ForwardPart& part) const { return routingOfPart(m_state, part); }
 
     void updateReachabilityOf(EndpointIndex endpoint, CallOutcome outcome)
@@ -174,18 +173,6 @@
             recordNoAnswer(m_state.m_reachability, endpoint, m_now);
     }
 
-    bool mayHaveRun() const
-    {
-        return std::any_of(m_execution.m_parts.begin(), m_execution.m_parts.end(),
-            [](const ForwardPart& part) { return part.m_possibleRuns > 0; });
-    }
-
-    bool isRelayed() const
-    {
-        return std::any_of(m_execution.m_parts.begin(), m_execution.m_parts.end(),
-            [](const ForwardPart& part) { return part.m_relay; });
-    }
-
     // The other VM has passed on answers of endpoints that leave. This VM passes them on to its caller.
     void learnLeavingEndpoints(const EndpointReply& reply)
     {
@@ -206,40 +193,23 @@
             recordLostEndpoint(m_state, m_execution, call.m_attempt, service);
     }
 
-    // Returns whether another VM must take over: one that this VM chooses, or the one that has relayed the request.
-    // A call that may run only once and has perhaps been sent can still be answered.
-    bool mustHandOver() const
-    {
-        const ForwardRequest& request = m_execution.m_request;
-        const bool open = std::any_of(m_execution.m_parts.begin(), m_execution.m_parts.end(),
-            [](const ForwardPart& part) { return part.m_state == ForwardPart::State::Open && !part.callsVm(); });
-        return m_state.m_reachability.m_cutOff && open && !isRelayed()
-            && (request.m_relayed || mayRelay(m_state, request))
-            && (isIdempotent() || !mayHaveRun() || !m_execution.m_unsentCallsCancelled);
-    }
-
     void prepareHandOver()
     {
-        if (m_execution.m_handOverAt || !mustHandOver())
+        if (m_execution.m_handOverAt || !mustHandOver(m_state, m_execution))
             return;
         m_execution.m_handOverAt = m_now;
         m_execution.m_unsentCallsCancelled = true;
-        for (std::size_t number = 0; number < m_execution.m_calls.size(); ++number) {
-            const ForwardCall& call = m_execution.m_calls[number];
-            if (call.m_attempt.m_open && !m_execution.m_parts[call.m_part].callsVm())
-                m_effects.m_cancelUnsent.emplace_back(static_cast<std::uint32_t>(number));
-        }
+        m_effects.m_cancelUnsent = openEndpointCalls(m_execution);
     }
 
     void handOver()
     {
         m_execution.m_handOverAt.reset();
         if (!m_state.m_reachability.m_cutOff) {
-            for (ForwardPart& part : m_execution.m_parts)
-                part.m_retryAt = part.m_state == ForwardPart::State::Open ? m_now : part.m_retryAt;
+            retryIdleParts();
             return;
         }
-        if (!isIdempotent() && mayHaveRun())
+        if (!isIdempotent() && mayHaveRun(m_execution))
             return;
         if (m_execution.m_request.m_relayed) {
             m_execution.m_cutOff = true;
@@ -250,7 +220,7 @@
             closePart(m_execution.m_parts[index], ForwardPart::State::Lost);
         for (const std::size_t index : plan.m_handedOver)
             stopCalling(m_execution.m_parts[index], ForwardPart::State::HandedOver);
-        if (!plan.m_relay)
+        if (!plan.m_relay || decideAnswer(m_execution, m_now))
             return;
         stopCalling(m_execution.m_parts.front(), m_execution.m_parts.front().m_state);
         m_execution.m_parts.push_back(std::move(*plan.m_relay));
@@ -274,18 +244,6 @@
         m_execution.m_lostShards += part.shardCount() - static_cast<std::uint32_t>(part.m_receipts.size());
     }
 
-    // Reads the answer of a VM that served the request; returns nothing if it is malformed. A VM that could not read
-    // the call, as one of another version may, has not run it.
-    std::optional<ForwardAnswer> readRelayedAnswer(EndpointReply& reply) const
-    {
-        auto answer = decodeRelayAnswer(reply.m_body);
-        if (!answer || answer->m_kind != ForwardAnswer::Kind::Error
-            || resultClass(answer->m_code) != ResultClass::BadInput)
-            return answer;
-        reply.m_notRun = true;
-        return std::nullopt;
-    }
-
     void handleRelayedAnswer(ForwardPart& part, EndpointIndex vm, ForwardAnswer answer)
     {
         if (part.m_group.empty()) {
@@ -343,7 +301,7 @@
                 std::min(m_route.m_goal, untilDeadline) - m_state.m_settings.m_mergeReserve };
             EndpointCall call;
             writeMergeResumeCall(resumeCall, call);
-            call.m_answerBy = mergerReplyDeadline();
+            call.m_answerBy = mergerReplyDeadline(m_execution, m_now);
             constexpr std::uint32_t noFurtherAttempts = 0;
             dispatch(index, *part.m_pendingMerger, std::move(call), noFurtherAttempts, CallKind::First);
         }
@@ -397,7 +355,7 @@
     void trySend(std::size_t index, CallKind kind)
     {
         ForwardPart& part = m_execution.m_parts[index];
-        if (!part.m_relay && (m_execution.m_handOverAt || isRelayed()))
+        if (!part.m_relay && (m_execution.m_handOverAt || isRelayed(m_execution)))
             return; // another VM takes over
         if (kind != CallKind::First && isQuarantined(m_state, m_execution.m_fingerprint, m_now)) {
             giveUp(part, kind);
@@ -424,7 +382,7 @@
     EndpointChoice choose(ForwardPart& part, CallKind kind)
     {
         const bool hedge = kind == CallKind::Hedge;
-        EndpointChoice choice = place(part, hedge);
+        EndpointChoice choice = placePart(m_state, m_route, part, hedge, m_now);
         if (choice.m_endpoint || hedge || choice.m_busy)
             return choice;
         if (!part.m_group.empty() && !part.m_otherVm) {
@@ -433,25 +391,13 @@
             part.m_otherVm = true;
             part.m_service = relayServiceName();
             part.m_triedEndpoints.clear();
-            return place(part, hedge);
+            return placePart(m_state, m_route, part, hedge, m_now);
         }
         if (part.m_triedEndpoints.empty())
             return choice;
         // No other endpoint can take the call, so those that were tried are allowed again.
         part.m_triedEndpoints.clear();
-        return place(part, hedge);
-    }
-
-    EndpointChoice place(const ForwardPart& part, bool hedge)
-    {
-        static const std::vector<EndpointIndex> none;
-        RoutingState& routing = routingOf(part);
-        const auto& members = routing.m_table.m_members;
-        const auto found = members.find(part.m_service);
-        const std::vector<EndpointIndex>& replicas = found == members.end() ? none : found->second;
-        const PlacementRequest request { typicalLatency(m_state, m_route), remotePenalty(m_route), replicas,
-            part.m_triedEndpoints, hedge };
-        return placeCall(routing, request, m_state.m_random, m_now);
+        return placePart(m_state, m_route, part, hedge, m_now);
     }
 
     // Takes one call from the extra-load budget. Hedges leave a reserve for retries, without which requests would fail.
@@ -459,19 +405,12 @@
     {
         // Retrying a merging VM repeats the calls to all shards of its group. These shards get the same requests, so
         // the budget of the first one represents them all.
-        ExtraLoadBudget& budget = forwardStats(m_state, budgetService(part)).m_budget;
+        ExtraLoadBudget& budget = forwardStats(m_state, budgetService(m_route, part)).m_budget;
         if (kind == CallKind::Hedge && budget.m_tokens < 1.0 + budget.m_burst * m_state.m_settings.m_retryReserve)
             return false;
         return spendExtraLoad(budget);
     }
 
-    const ServiceName& budgetService(const ForwardPart& part) const
-    {
-        if (part.m_relay)
-            return m_route.m_shards.empty() ? m_route.m_targets.front().m_service : m_route.m_shards.front();
-        return part.m_group.empty() ? part.m_service : part.m_group.front();
-    }
-
     void giveUp(ForwardPart& part, CallKind kind)
     {
         if (kind != CallKind::Hedge && part.m_openCalls == 0)
@@ -516,8 +455,9 @@
         const ForwardRequest& request = m_execution.m_request;
         EndpointCall call;
         if (part.m_relay) {
-            call.m_answerBy = relayReplyDeadline(part);
-            writeRelayCall(request, relayRoute(m_execution, part, attempts), goalLeftForMerger(), call);
+            call.m_answerBy = relayReplyDeadline(m_execution, part, m_now);
+            writeRelayCall(request, relayRoute(m_execution, part, attempts),
+                goalLeftForVm(m_state.m_settings, m_execution, m_now), call);
         } else if (part.m_group.empty()) {
             call.m_method = request.m_method;
             call.m_host = request.m_host;
@@ -525,8 +465,9 @@
             call.m_fields = request.m_fields;
             call.m_body = request.m_body;
         } else {
-            call.m_answerBy = mergerReplyDeadline();
-            writeMergeCall(request, part.m_group, attempts, goalLeftForMerger(), call);
+            call.m_answerBy = mergerReplyDeadline(m_execution, m_now);
+            writeMergeCall(
+                request, part.m_group, attempts, goalLeftForVm(m_state.m_settings, m_execution, m_now), call);
         }
         dispatch(index, endpoint, std::move(call), attempts, kind);
     }
@@ -550,31 +491,6 @@
         m_effects.m_sends.push_back({ number, std::move(call), kind == CallKind::Hedge, part.callsVm() });
     }
 
-    // Returns when a call to a merging VM times out. A merging VM answers at the goal at the latest; if another full
-    // goal passes without a reply, the VM or the connection has stalled.
-    MonotonicTime mergerReplyDeadline() const
-    {
-        return std::max(m_execution.m_goalAt, m_now + m_route.m_goal) + m_route.m_goal;
-    }
-
-    // Returns when a call to a VM that serves the request times out. While attempts are left for a further VM, that is
-    // soon after the goal. Otherwise the caller keeps half of its time for a request of its own to another VM. A
-    // request that may run only once is given all its time, since the caller cannot send it again.
-    MonotonicTime relayReplyDeadline(const ForwardPart& part) const
-    {
-        if (!isIdempotent() || m_route.m_goal.count() == 0)
-            return MonotonicTime::max();
-        const MonotonicTime afterGoal = mergerReplyDeadline();
-        return attemptsLeft(part.m_attempts) > 0 ? afterGoal
-                                                 : std::max(afterGoal, m_now + (m_execution.m_deadline - m_now) / 2);
-    }
-
-    Milliseconds goalLeftForMerger() const
-    {
-        const MonotonicTime until = std::min(m_execution.m_goalAt, m_execution.m_deadline);
-        return std::chrono::duration_cast<Milliseconds>(until - m_now) - m_state.m_settings.m_mergeReserve;
-    }
-
     void unblockWaiting(RoutingState& routing, EndpointIndex endpoint)
     {
         // Also if the endpoint is now ejected or at its rate limit: the request must not wait for it in vain.
--- a/src/libflamingo/forward/forwardfinish.cpp
+++ b/src/libflamingo/forward/forwardfinish.cpp
@@ -1,5 +1,6 @@
 #include "forward/forwardfinish.h"
 
+#include "forward/handover.h"
 #include "forward/recordmerge.h"
 
 #include <algorithm>
@@ -67,9 +68,7 @@
 /** Returns a failure. Its code is that of a refusal only if no endpoint can have run the request. */
 ForwardAnswer failureAnswer(const ForwardExecution& execution, const char* text)
 {
-    const bool mayHaveRun = std::any_of(execution.m_parts.begin(), execution.m_parts.end(),
-        [](const ForwardPart& part) { return part.m_possibleRuns > 0; });
-    if (mayHaveRun)
+    if (mayHaveRun(execution))
         return errorAnswer(execution, ResultCode::EndpointFailed, text);
     const bool refused = std::any_of(execution.m_parts.begin(), execution.m_parts.end(),
         [](const ForwardPart& part) { return part.m_refusals > 0; });
--- a/src/libflamingo/forward/handover.cpp
+++ b/src/libflamingo/forward/handover.cpp
@@ -1,7 +1,9 @@
 #include "forward/handover.h"
 
 #include "forward/forwardfinish.h"
+#include "forward/forwardstart.h"
 #include "forward/relayplan.h"
+#include "forward/relaywire.h"
 
 #include <algorithm>
 
@@ -31,6 +33,54 @@
 
 } // namespace
 
+bool mayHaveRun(const ForwardExecution& execution)
+{
+    return std::any_of(execution.m_parts.begin(), execution.m_parts.end(),
+        [](const ForwardPart& part) { return part.m_possibleRuns > 0; });
+}
+
+bool isRelayed(const ForwardExecution& execution)
+{
+    return std::any_of(
+        execution.m_parts.begin(), execution.m_parts.end(), [](const ForwardPart& part) { return part.m_relay; });
+}
+
+bool mustHandOver(const ForwardState& state, const ForwardExecution& execution)
+{
+    if (!state.m_reachability.m_cutOff || isRelayed(execution))
+        return false;
+    const ForwardRequest& request = execution.m_request;
+    if (!request.m_relayed && !mayRelay(state, request))
+        return false;
+    const bool idempotent = request.m_route->m_idempotence == Idempotence::Idempotent;
+    if (!idempotent && execution.m_unsentCallsCancelled && mayHaveRun(execution))
+        return false;
+    return std::any_of(execution.m_parts.begin(), execution.m_parts.end(),
+        [](const ForwardPart& part) { return part.m_state == ForwardPart::State::Open && !part.callsVm(); });
+}
+
+std::vector<AttemptNumber> openEndpointCalls(const ForwardExecution& execution)
+{
+    std::vector<AttemptNumber> open;
+    for (std::size_t number = 0; number < execution.m_calls.size(); ++number) {
+        const ForwardCall& call = execution.m_calls[number];
+        if (call.m_attempt.m_open && !execution.m_parts[call.m_part].callsVm())
+            open.emplace_back(static_cast<std::uint32_t>(number));
+    }
+    return open;
+}
+
+std::optional<ForwardAnswer> readRelayedAnswer(EndpointReply& reply)
+{
+    auto answer = decodeRelayAnswer(reply.m_body);
+    const bool unread = answer && answer->m_kind == ForwardAnswer::Kind::Error
+        && resultClass(answer->m_code) == ResultClass::BadInput;
+    if (!unread)
+        return answer;
+    reply.m_notRun = true;
+    return std::nullopt;
+}
+
 HandOver planHandOver(const ForwardExecution& execution)
 {
     if (execution.m_request.m_route->m_shards.empty())
--- a/src/libflamingo/forward/tests/handovertest.cpp
+++ b/src/libflamingo/forward/tests/handovertest.cpp
@@ -141,6 +141,14 @@
                 CHECK(answer->m_code == ResultCode::EndpointFailed);
             }
         }
+        SECTION("if the links are back before that, a call that is open goes on, without a timer in the past")
+        {
+            vm.m_state.m_reachability.m_cutOff = false;
+            const ForwardEffects next = vm.handOver(execution);
+            CHECK(next.m_sends.empty());
+            REQUIRE(next.m_nextTimerAt);
+            CHECK(*next.m_nextTimerAt > vm.m_now);
+        }
         SECTION("if the links are back before that, the VM goes on itself")
         {
             vm.reply(execution, started.m_sends[0], EndpointReply());
@@ -172,6 +180,20 @@
         CHECK(*handedOver.m_nextTimerAt > vm.m_now);
         CHECK(vm.reply(execution, started.m_sends[0], ForwardFixture::success("r")).m_answer);
     }
+    SECTION("a query that can no longer reach its minimum fails at once, without a call to another VM")
+    {
+        vm.m_fanOut.m_minAnsweredShare = 1.0;
+        vm.m_fanOut.m_maxAttempts = 1;
+        ForwardExecution execution = vm.execution(vm.m_fanOut);
+        const ForwardEffects started = vm.start(execution);
+        vm.cutOff(execution);
+        for (std::size_t call = 1; call < started.m_sends.size(); ++call)
+            vm.reply(execution, started.m_sends[call], EndpointReply());
+        const ForwardEffects handedOver = vm.handOver(execution);
+        CHECK(handedOver.m_sends.empty());
+        REQUIRE(handedOver.m_answer);
+        CHECK(handedOver.m_answer->m_code == ResultCode::EndpointFailed);
+    }
     SECTION("of a query, only shards without an answer are requested, and the answer contains each shard once")
     {
         vm.m_fanOut.m_minAnsweredShare = 1.0;
--- a/src/libflamingo/forward/tests/placementtest.cpp
+++ b/src/libflamingo/forward/tests/placementtest.cpp
@@ -3,9 +3,8 @@
 
 #include <catch2/catch.hpp>
 
-#include <limits>
-
 #include <algorithm>
+#include <limits>
 
 using namespace flamingo;
 
