--- a/src/libflamingo/forward/tests/crashtier.h
+++ b/src/libflamingo/forward/tests/crashtier.h
@@ -2,12 +2,12 @@
 
 #include "control/tests/commandmaker.h"
 #include "forward/crashsuspects.h"
+#include "forward/tests/eventqueue.h"
 #include "forward/tests/forwardfixture.h"
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <utility>
@@ -66,12 +66,7 @@
         if (m_load.m_outageEvery.count() > 0)
             every(m_load.m_outageEvery, [this] { endHalf(); });
         scheduleArrival();
-        while (!m_events.empty()) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.m_at;
-            event.m_action();
-        }
+        m_events.run();
     }
 
     std::size_t crashes() const { return m_crashes.size(); }
@@ -92,17 +87,6 @@
 private:
     static constexpr char crashingTarget[] = "/crashing";
 
-    struct Event {
-        MonotonicTime m_at;
-        std::uint64_t m_order;
-        std::function<void()> m_action;
-
-        friend bool operator<(const Event& a, const Event& b)
-        {
-            return a.m_at != b.m_at ? a.m_at > b.m_at : a.m_order > b.m_order;
-        }
-    };
-
     struct Running {
         ForwardExecution m_execution;
         ForwardState* m_vm = nullptr;
@@ -116,15 +100,10 @@
 
     MonotonicTime end() const { return m_start + std::chrono::seconds(30); }
 
-    void at(MonotonicTime time, std::function<void()> action)
-    {
-        m_events.push({ time, ++m_lastEvent, std::move(action) });
-    }
-
     void every(Milliseconds interval, const std::function<void()>& action)
     {
         for (MonotonicTime time = m_start + interval; time < end(); time += interval)
-            at(time, action);
+            m_events.at(time, action);
     }
 
     void addService(Route& route, const ServiceName& service)
@@ -152,17 +131,17 @@
     {
         const auto state = std::make_shared<const PublishedState>(m_published);
         for (ForwardState& vm : m_vms)
-            applyForwardState(vm, state, m_now, nullptr);
+            applyForwardState(vm, state, m_events.now(), nullptr);
     }
 
     void scheduleArrival()
     {
         const std::chrono::duration<double> gap(
             std::exponential_distribution<double>(m_load.m_requestsPerSecond)(m_random));
-        const MonotonicTime time = m_now + std::chrono::duration_cast<MonotonicTime::duration>(gap);
+        const MonotonicTime time = m_events.now() + std::chrono::duration_cast<MonotonicTime::duration>(gap);
         if (time >= end())
             return;
-        at(time, [this] {
+        m_events.at(time, [this] {
             arrive("/" + std::to_string(std::uniform_int_distribution<int>(1, m_load.m_targets)(m_random)));
             scheduleArrival();
         });
@@ -177,10 +156,10 @@
         request.m_id = RequestId(std::to_string(m_lastExecution));
         request.m_method = "GET";
         request.m_target = target;
-        request.m_receivedAt = m_now;
+        request.m_receivedAt = m_events.now();
         request.m_route = m_route;
         m_requests += target == crashingTarget ? 0 : 1;
-        carryOut(running, startForward(*running->m_vm, running->m_execution, m_now));
+        carryOut(running, startForward(*running->m_vm, running->m_execution, m_events.now()));
     }
 
     void carryOut(const RunningPtr& running, ForwardEffects effects)
@@ -194,20 +173,20 @@
             m_quarantined += effects.m_answer->m_code == ResultCode::Quarantined ? 1 : 0;
         }
         for (const LostEndpoint& endpoint : takeLostEndpoints(*running->m_vm, running->m_execution))
-            at(m_now + Milliseconds(1), [this, running, endpoint] { examine(running, endpoint); });
+            m_events.at(m_events.now() + Milliseconds(1), [this, running, endpoint] { examine(running, endpoint); });
         if (effects.m_nextTimerAt && !running->m_execution.m_finished)
-            at(std::max(*effects.m_nextTimerAt, m_now), [this, running] {
+            m_events.at(std::max(*effects.m_nextTimerAt, m_events.now()), [this, running] {
                 if (!running->m_execution.m_finished)
-                    carryOut(running, handleForwardTimer(*running->m_vm, running->m_execution, m_now));
+                    carryOut(running, handleForwardTimer(*running->m_vm, running->m_execution, m_events.now()));
             });
     }
 
     void examine(const RunningPtr& running, const LostEndpoint& endpoint)
     {
-        if (m_now >= m_endpoints[endpoint.m_id].m_downUntil)
+        if (m_events.now() >= m_endpoints[endpoint.m_id].m_downUntil)
             return;
         const Fingerprint fingerprint = running->m_execution.m_fingerprint;
-        if (auto death = reportCrash(*running->m_vm, running->m_execution, endpoint, m_now))
+        if (auto death = reportCrash(*running->m_vm, running->m_execution, endpoint, m_events.now()))
             propose(std::move(*death),
                 [running, fingerprint] { recordReportApplied(running->m_vm->m_fingerprints, fingerprint); });
     }
@@ -215,9 +194,9 @@
     // The control VM applies a command after 30 ms, and its result reaches all VMs 50 ms later.
     void propose(CommandBody body, const std::function<void()>& applied)
     {
-        at(m_now + Milliseconds(30), [this, body = std::move(body), applied] {
+        m_events.at(m_events.now() + Milliseconds(30), [this, body = std::move(body), applied] {
             m_control.run(body);
-            at(m_now + Milliseconds(50), [this, applied] {
+            m_events.at(m_events.now() + Milliseconds(50), [this, applied] {
                 m_published.m_quarantine = m_control.m_state.m_published.m_quarantine;
                 publish();
                 if (applied)
@@ -234,44 +213,44 @@
     {
         Endpoint& endpoint = m_endpoints[send.m_call.m_endpoint];
         EndpointReply refused;
-        if (m_now < endpoint.m_downUntil)
-            return reply(running, send.m_attempt, refused, m_now + Milliseconds(1));
+        if (m_events.now() < endpoint.m_downUntil)
+            return reply(running, send.m_attempt, refused, m_events.now() + Milliseconds(1));
         endpoint.m_calls.emplace_back(running, send.m_attempt);
         const EndpointId id = send.m_call.m_endpoint;
         if (running->m_execution.m_request.m_target == crashingTarget) {
-            m_crashingArrivals.push_back(m_now);
-            at(m_now + Milliseconds(5), [this, id] {
-                if (m_now < m_endpoints[id].m_downUntil)
+            m_crashingArrivals.push_back(m_events.now());
+            m_events.at(m_events.now() + Milliseconds(5), [this, id] {
+                if (m_events.now() < m_endpoints[id].m_downUntil)
                     return;
-                m_crashes.push_back(m_now);
+                m_crashes.push_back(m_events.now());
                 endEndpoint(id);
             });
             return;
         }
-        at(m_now + Milliseconds(20), [this, id, running, attempt = send.m_attempt] {
+        m_events.at(m_events.now() + Milliseconds(20), [this, id, running, attempt = send.m_attempt] {
             auto& calls = m_endpoints[id].m_calls;
             const auto found = std::find(calls.begin(), calls.end(), std::make_pair(running, attempt));
             if (found == calls.end())
                 return; // the endpoint has ended meanwhile
             calls.erase(found);
-            reply(running, attempt, ForwardFixture::success("r", std::string(16, 'x')), m_now);
+            reply(running, attempt, ForwardFixture::success("r", std::string(16, 'x')), m_events.now());
         });
     }
 
     void reply(const RunningPtr& running, AttemptNumber attempt, const EndpointReply& reply, MonotonicTime time)
     {
-        at(time, [this, running, attempt, reply] {
-            carryOut(running, handleForwardReply(*running->m_vm, running->m_execution, attempt, reply, m_now));
+        m_events.at(time, [this, running, attempt, reply] {
+            carryOut(running, handleForwardReply(*running->m_vm, running->m_execution, attempt, reply, m_events.now()));
         });
     }
 
     void endEndpoint(const EndpointId& id)
     {
         Endpoint& endpoint = m_endpoints[id];
-        endpoint.m_downUntil = m_now + std::chrono::seconds(2);
+        endpoint.m_downUntil = m_events.now() + std::chrono::seconds(2);
         for (const auto& [running, attempt] : std::exchange(endpoint.m_calls, {}))
-            reply(running, attempt, ForwardFixture::lost(), m_now);
-        at(endpoint.m_downUntil + Milliseconds(100), [this, id] {
+            reply(running, attempt, ForwardFixture::lost(), m_events.now());
+        m_events.at(endpoint.m_downUntil + Milliseconds(100), [this, id] {
             EndpointRecord& record = m_published.m_endpoints[id];
             record.m_incarnation = Incarnation(record.m_incarnation.value() + 1);
             publish();
@@ -283,7 +262,7 @@
         bool ends = false;
         for (const auto& [id, record] : m_published.m_endpoints) {
             ends = !ends;
-            if (ends && m_now >= m_endpoints[id].m_downUntil)
+            if (ends && m_events.now() >= m_endpoints[id].m_downUntil)
                 endEndpoint(id);
         }
     }
@@ -295,10 +274,8 @@
     RoutePtr m_route;
     std::vector<ForwardState> m_vms;
     std::map<EndpointId, Endpoint> m_endpoints;
-    const MonotonicTime m_start { std::chrono::hours(1) };
-    MonotonicTime m_now = m_start;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_lastEvent = 0;
+    EventQueue m_events;
+    const MonotonicTime m_start = m_events.now();
     std::uint64_t m_lastExecution = 0;
     std::vector<MonotonicTime> m_crashes; // caused by the crashing request
     std::vector<MonotonicTime> m_crashingArrivals;
--- a/src/libflamingo/forward/tests/cutofftier.h
+++ b/src/libflamingo/forward/tests/cutofftier.h
@@ -4,13 +4,13 @@
 #include "forward/mergewire.h"
 #include "forward/reachability.h"
 #include "forward/relaywire.h"
+#include "forward/tests/eventqueue.h"
 #include "forward/tests/forwardfixture.h"
 
 #include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -92,12 +92,7 @@
         for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
             tick(vm);
         scheduleArrival(m_start);
-        while (!m_events.empty()) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.m_at;
-            event.m_action();
-        }
+        m_events.run();
     }
 
     MonotonicTime cutStart() const { return m_start + std::chrono::seconds(4); }
@@ -170,17 +165,6 @@
     static constexpr Milliseconds timeout { 1000 };
 
 private:
-    struct Event {
-        MonotonicTime m_at;
-        std::uint64_t m_order;
-        std::function<void()> m_action;
-
-        friend bool operator<(const Event& a, const Event& b)
-        {
-            return a.m_at != b.m_at ? a.m_at > b.m_at : a.m_order > b.m_order;
-        }
-    };
-
     struct Running {
         ForwardExecution m_execution;
         std::size_t m_vm = 0;
@@ -209,12 +193,7 @@
         std::map<std::string, int> m_serviceRuns {};
     };
 
-    void at(MonotonicTime time, std::function<void()> action)
-    {
-        m_events.push({ time, ++m_lastEvent, std::move(action) });
-    }
-
-    bool isCutNow(std::size_t vm) const { return cutUntil(vm, m_now) > m_now; }
+    bool isCutNow(std::size_t vm) const { return cutUntil(vm, m_events.now()) > m_events.now(); }
 
     /** Returns the end of the cut that the VM is in at the time; the time itself if it is in none. */
     MonotonicTime cutUntil(std::size_t vm, MonotonicTime time) const
@@ -237,10 +216,10 @@
 
     void tick(std::size_t index)
     {
-        if (m_now >= end())
+        if (m_events.now() >= end())
             return;
         Vm& vm = m_vms[index];
-        switch (updateReachability(vm.m_state.m_reachability, vm.m_connectionsOpened, m_now)) {
+        switch (updateReachability(vm.m_state.m_reachability, vm.m_connectionsOpened, m_events.now())) {
         case ReachabilityAction::None:
             break;
         case ReachabilityAction::TestConnections:
@@ -255,7 +234,7 @@
         case ReachabilityAction::Regained:
             forgetFailuresSince(vm.m_state.m_routing, cutStart());
         }
-        at(m_now + Milliseconds(100), [this, index] { tick(index); });
+        m_events.at(m_events.now() + Milliseconds(100), [this, index] { tick(index); });
     }
 
     void scheduleArrival(MonotonicTime after)
@@ -265,9 +244,9 @@
         const MonotonicTime time = after + std::chrono::duration_cast<MonotonicTime::duration>(gap);
         if (time >= end())
             return;
-        at(time, [this] {
+        m_events.at(time, [this] {
             arriveAtVm();
-            scheduleArrival(m_now);
+            scheduleArrival(m_events.now());
         });
     }
 
@@ -275,16 +254,16 @@
     {
         const std::size_t vm = std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random);
         const std::size_t number = m_outcomes.size();
-        m_outcomes.push_back({ m_now, m_now, m_vms[vm].m_isCut });
+        m_outcomes.push_back({ m_events.now(), m_events.now(), m_vms[vm].m_isCut });
         ForwardRequest request;
         request.m_id = RequestId(std::to_string(number));
         request.m_method = "GET";
-        request.m_receivedAt = m_now;
+        request.m_receivedAt = m_events.now();
         request.m_route = m_route;
         start(vm, std::move(request), [this, number](const ForwardAnswer& answer) {
             Outcome& outcome = m_outcomes[number];
             outcome.m_answered = true;
-            outcome.m_answeredAt = m_now;
+            outcome.m_answeredAt = m_events.now();
             outcome.m_served = answer.m_code == ResultCode::Ok && answer.m_kind != ForwardAnswer::Kind::Error;
             outcome.m_refused = resultClass(answer.m_code) == ResultClass::NotRun;
         });
@@ -299,7 +278,7 @@
         running->m_execution.m_id = ExecutionId(++m_lastExecution);
         running->m_execution.m_request = std::move(request);
         m_vms[vm].m_running[running->m_execution.m_id] = running;
-        carryOut(running, startForward(m_vms[vm].m_state, running->m_execution, m_now));
+        carryOut(running, startForward(m_vms[vm].m_state, running->m_execution, m_events.now()));
     }
 
     void carryOut(const RunningPtr& running, ForwardEffects effects)
@@ -317,18 +296,18 @@
             running->m_answer(std::move(*effects.m_answer));
         }
         if (effects.m_nextTimerAt && !running->m_execution.m_finished)
-            at(std::max(*effects.m_nextTimerAt, m_now), [this, running] { handleTimer(running); });
+            m_events.at(std::max(*effects.m_nextTimerAt, m_events.now()), [this, running] { handleTimer(running); });
         for (const ExecutionId waiting : effects.m_unblocked) {
             const auto found = m_vms[running->m_vm].m_running.find(waiting);
             if (found != m_vms[running->m_vm].m_running.end())
-                at(m_now, [this, next = found->second] { handleTimer(next); });
+                m_events.at(m_events.now(), [this, next = found->second] { handleTimer(next); });
         }
     }
 
     void handleTimer(const RunningPtr& running)
     {
         if (!running->m_execution.m_finished)
-            carryOut(running, handleForwardTimer(m_vms[running->m_vm].m_state, running->m_execution, m_now));
+            carryOut(running, handleForwardTimer(m_vms[running->m_vm].m_state, running->m_execution, m_events.now()));
     }
 
     void cancelUnsent(const RunningPtr& running, AttemptNumber attempt)
@@ -337,21 +316,22 @@
             return;
         EndpointReply unsent;
         unsent.m_outcome = CallOutcome::NotSent;
-        at(m_now, [this, running, attempt, unsent] {
+        m_events.at(m_events.now(), [this, running, attempt, unsent] {
             carryOut(running,
-                handleForwardReply(m_vms[running->m_vm].m_state, running->m_execution, attempt, unsent, m_now));
+                handleForwardReply(
+                    m_vms[running->m_vm].m_state, running->m_execution, attempt, unsent, m_events.now()));
         });
         running->m_cancelled.insert(attempt);
     }
 
     void reply(const RunningPtr& running, AttemptNumber attempt, EndpointReply reply, MonotonicTime time)
     {
-        at(time, [this, running, attempt, reply = std::move(reply)] {
+        m_events.at(time, [this, running, attempt, reply = std::move(reply)] {
             running->m_unsent.erase(attempt);
             if (running->m_cancelled.count(attempt) > 0)
                 return;
-            carryOut(
-                running, handleForwardReply(m_vms[running->m_vm].m_state, running->m_execution, attempt, reply, m_now));
+            carryOut(running,
+                handleForwardReply(m_vms[running->m_vm].m_state, running->m_execution, attempt, reply, m_events.now()));
         });
     }
 
@@ -362,8 +342,8 @@
         ++outcome.m_runs;
         const std::string endpoint = send.m_call.m_endpoint.value();
         ++outcome.m_serviceRuns[endpoint.substr(0, endpoint.size() - 1)];
-        const MonotonicTime answered = m_now + m_load.m_workTime;
-        const MonotonicTime cut = nextCut(running->m_vm, m_now);
+        const MonotonicTime answered = m_events.now() + m_load.m_workTime;
+        const MonotonicTime cut = nextCut(running->m_vm, m_events.now());
         EndpointReply lost;
         if (cut < answered && m_load.m_cut == Cut::Refuse) {
             lost.m_outcome = CallOutcome::ConnectionLost;
@@ -388,9 +368,9 @@
         lost.m_outcome = refused || newConnection ? CallOutcome::NotSent : CallOutcome::TimedOut;
         if (newConnection && !refused)
             running->m_unsent.insert(send.m_attempt);
-        const MonotonicTime connectTimeout = m_now + Milliseconds(500);
+        const MonotonicTime connectTimeout = m_events.now() + Milliseconds(500);
         reply(running, send.m_attempt, std::move(lost),
-            refused             ? m_now + Milliseconds(1)
+            refused             ? m_events.now() + Milliseconds(1)
                 : newConnection ? std::min(connectTimeout, until)
                                 : until);
     }
@@ -401,11 +381,11 @@
         HttpRequest http;
         http.m_target = send.m_call.m_path;
         http.m_body = send.m_call.m_body;
-        http.m_receivedAt = m_now + Milliseconds(1);
-        const auto left = std::chrono::duration_cast<Milliseconds>(send.m_call.m_deadline - m_now);
+        http.m_receivedAt = m_events.now() + Milliseconds(1);
+        const auto left = std::chrono::duration_cast<Milliseconds>(send.m_call.m_deadline - m_events.now());
         http.m_fields = send.m_call.m_fields;
         http.m_fields.push_back({ "X-Flamingo-Deadline-Ms", std::to_string(left.count()) });
-        at(http.m_receivedAt, [this, running, http, target, attempt = send.m_attempt] {
+        m_events.at(http.m_receivedAt, [this, running, http, target, attempt = send.m_attempt] {
             const auto respond = [this, running, attempt](const ForwardAnswer& answer) {
                 const HttpResponse response = encodeRelayAnswer(answer);
                 EndpointReply result;
@@ -416,7 +396,7 @@
                 result.m_body = response.m_body;
                 for (const HttpField& field : response.m_fields)
                     mergeProtocol().m_readField(result, field.m_name, field.m_value);
-                reply(running, attempt, std::move(result), m_now + Milliseconds(1));
+                reply(running, attempt, std::move(result), m_events.now() + Milliseconds(1));
             };
             ForwardRequest request;
             Reason reason { ResultCode::NoEndpoint, "cut off" };
@@ -433,10 +413,8 @@
     RandomEngine m_random;
     RoutePtr m_route;
     std::vector<Vm> m_vms;
-    const MonotonicTime m_start { std::chrono::hours(1) };
-    MonotonicTime m_now = m_start;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_lastEvent = 0;
+    EventQueue m_events;
+    const MonotonicTime m_start = m_events.now();
     std::uint64_t m_lastExecution = 0;
     std::vector<Outcome> m_outcomes;
 };
--- a/src/libflamingo/forward/tests/ratelimitedtier.h
+++ b/src/libflamingo/forward/tests/ratelimitedtier.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "forward/forwardexecution.h"
+#include "forward/tests/eventqueue.h"
 #include "forward/tests/forwardfixture.h"
 
 #include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <string>
 #include <utility>
@@ -70,12 +70,7 @@
     void play()
     {
         scheduleArrival(m_start);
-        while (!m_events.empty()) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.m_at;
-            event.m_action();
-        }
+        m_events.run();
     }
 
     MonotonicTime limitStart() const { return m_start + std::chrono::seconds(6); }
@@ -136,17 +131,6 @@
     static constexpr Milliseconds goal { 250 };
 
 private:
-    struct Event {
-        MonotonicTime m_at;
-        std::uint64_t m_order;
-        std::function<void()> m_action;
-
-        friend bool operator<(const Event& a, const Event& b)
-        {
-            return a.m_at != b.m_at ? a.m_at > b.m_at : a.m_order > b.m_order;
-        }
-    };
-
     struct Running {
         ForwardExecution m_execution;
         std::size_t m_vm = 0;
@@ -176,11 +160,6 @@
         published.m_endpoints[endpoint.m_id] = endpoint;
     }
 
-    void at(MonotonicTime time, std::function<void()> action)
-    {
-        m_events.push({ time, ++m_lastEvent, std::move(action) });
-    }
-
     void scheduleArrival(MonotonicTime after)
     {
         const MonotonicTime burstStart = limitStart() + (limitEnd() - limitStart()) / 2;
@@ -190,9 +169,9 @@
         const MonotonicTime time = after + std::chrono::duration_cast<MonotonicTime::duration>(gap);
         if (time >= end())
             return;
-        at(time, [this] {
+        m_events.at(time, [this] {
             startRequest();
-            scheduleArrival(m_now);
+            scheduleArrival(m_events.now());
         });
     }
 
@@ -201,15 +180,15 @@
         const auto running = std::make_shared<Running>();
         running->m_vm = std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random);
         running->m_outcome = m_outcomes.size();
-        m_outcomes.push_back({ m_now, m_now });
+        m_outcomes.push_back({ m_events.now(), m_events.now() });
         ForwardExecution& execution = running->m_execution;
         execution.m_id = ExecutionId(++m_lastExecution);
         execution.m_request.m_id = RequestId("r" + std::to_string(m_lastExecution));
         execution.m_request.m_method = "GET";
-        execution.m_request.m_receivedAt = m_now;
+        execution.m_request.m_receivedAt = m_events.now();
         execution.m_request.m_route = std::make_shared<const Route>(m_route);
         m_running[execution.m_id] = running;
-        carryOut(running, startForward(m_vms[running->m_vm], execution, m_now));
+        carryOut(running, startForward(m_vms[running->m_vm], execution, m_events.now()));
     }
 
     void carryOut(const std::shared_ptr<Running>& running, ForwardEffects effects)
@@ -218,18 +197,18 @@
             arrive(running, send);
         if (effects.m_answer) {
             Outcome& outcome = m_outcomes[running->m_outcome];
-            outcome.m_answeredAt = m_now;
+            outcome.m_answeredAt = m_events.now();
             outcome.m_served = effects.m_answer->m_code == ResultCode::Ok && effects.m_answer->m_status == 200;
             outcome.m_refused = resultClass(effects.m_answer->m_code) == ResultClass::NotRun;
             running->m_answered = true;
             m_running.erase(running->m_execution.m_id);
         }
         if (effects.m_nextTimerAt && !running->m_execution.m_finished)
-            at(std::max(*effects.m_nextTimerAt, m_now), [this, running] { handleTimer(running); });
+            m_events.at(std::max(*effects.m_nextTimerAt, m_events.now()), [this, running] { handleTimer(running); });
         for (const ExecutionId waiting : effects.m_unblocked) {
             const auto found = m_running.find(waiting);
             if (found != m_running.end())
-                at(m_now, [this, next = found->second] { handleTimer(next); });
+                m_events.at(m_events.now(), [this, next = found->second] { handleTimer(next); });
         }
     }
 
@@ -237,10 +216,10 @@
     {
         if (running->m_execution.m_finished)
             return;
-        carryOut(running, handleForwardTimer(m_vms[running->m_vm], running->m_execution, m_now));
+        carryOut(running, handleForwardTimer(m_vms[running->m_vm], running->m_execution, m_events.now()));
     }
 
-    bool limitInForce() const { return m_now >= limitStart() && m_now < limitEnd(); }
+    bool limitInForce() const { return m_events.now() >= limitStart() && m_events.now() < limitEnd(); }
 
     void arrive(const std::shared_ptr<Running>& running, const ForwardEffects::Send& send)
     {
@@ -250,27 +229,27 @@
         const auto told = m_toldAt.find({ running->m_vm, endpoint });
         if (limited)
             m_limitedArrivals[endpoint].push_back(
-                { m_now, told != m_toldAt.end() && m_now - told->second >= Milliseconds(500) });
+                { m_events.now(), told != m_toldAt.end() && m_events.now() - told->second >= Milliseconds(500) });
         EndpointReply reply = ForwardFixture::success("receipt");
         if (std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < m_load.m_failedShare)
             reply.m_status = 500;
-        at(m_now + m_load.m_workTime, [this, running, reply, limited, endpoint, attempt = send.m_attempt]() mutable {
-            if (limited && limitInForce()) {
-                reply.m_rateLimit = RequestsPerSecond(m_load.m_limit);
-                m_toldAt.try_emplace({ running->m_vm, endpoint }, m_now);
-            }
-            carryOut(running, handleForwardReply(m_vms[running->m_vm], running->m_execution, attempt, reply, m_now));
-        });
+        m_events.at(m_events.now() + m_load.m_workTime,
+            [this, running, reply, limited, endpoint, attempt = send.m_attempt]() mutable {
+                if (limited && limitInForce()) {
+                    reply.m_rateLimit = RequestsPerSecond(m_load.m_limit);
+                    m_toldAt.try_emplace({ running->m_vm, endpoint }, m_events.now());
+                }
+                carryOut(running,
+                    handleForwardReply(m_vms[running->m_vm], running->m_execution, attempt, reply, m_events.now()));
+            });
     }
 
     Load m_load;
     RandomEngine m_random;
     Route m_route;
     std::vector<ForwardState> m_vms;
-    const MonotonicTime m_start { std::chrono::hours(1) };
-    MonotonicTime m_now = m_start;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_lastEvent = 0;
+    EventQueue m_events;
+    const MonotonicTime m_start = m_events.now();
     std::uint64_t m_lastExecution = 0;
     std::map<ExecutionId, std::shared_ptr<Running>> m_running;
     std::vector<Outcome> m_outcomes;
