Hand requests over whatever the budget of extra load

Their log shows attempts left but no call: the hand-over was charged to the VM's share of the budget of extra load, which is 1.65 calls there, and refused for lack of it. It is one call for a request that was in flight when the links were lost, and there is no other way, so it is still charged but no longer refused. The new test fails before.

--- a/src/libflamingo/forward/forwardexecution.cpp
+++ b/src/libflamingo/forward/forwardexecution.cpp
@@ -370,9 +370,10 @@
             waitOrGiveUp(part, kind, choice);
             return;
         }
-        // A call counts as extra load only if an earlier call of this part has reached an endpoint.
+        // A call counts as extra load only if an earlier call of this part has reached an endpoint. A request that is
+        // handed over has no other way, so it is not refused for lack of budget.
         const bool extra = part.m_attempts.m_used + (part.callsVm() ? 0 : part.m_refusals) > 0;
-        if (extra && !trySpendExtraLoad(part, kind)) {
+        if (extra && !trySpendExtraLoad(part, kind) && !part.m_relay) {
             giveUp(part, kind);
             return;
         }
--- a/src/libflamingo/forward/tests/handovertest.cpp
+++ b/src/libflamingo/forward/tests/handovertest.cpp
@@ -158,6 +158,18 @@
             CHECK_FALSE(next.m_sends[0].m_toVm);
         }
     }
+    SECTION("also if no budget of extra load is left, since the request has no other way")
+    {
+        vm.m_state.m_settings.m_extraLoadShare = 0.0;
+        vm.m_state.m_settings.m_extraLoadCalls = 0.0;
+        for (int request = 0; request < 3; ++request) {
+            ForwardExecution execution = vm.execution(vm.m_single);
+            vm.m_state.m_reachability.m_cutOff = false;
+            vm.start(execution);
+            vm.cutOff(execution);
+            CHECK(vm.handOver(execution).m_sends.size() == 1);
+        }
+    }
     SECTION("a request whose attempts are used up fails at once, so that its caller can send it to another VM")
     {
         ForwardExecution execution = vm.execution(vm.m_single);
