--- a/src/libflamingo/forward/handover.h
+++ b/src/libflamingo/forward/handover.h
@@ -8,8 +8,8 @@
 
 namespace flamingo {
 
-// How another VM takes over a request, since this VM has lost its links to the endpoints. The functions are thread-safe
-// for one state.
+// Decisions about letting another VM take over a request, since this VM has lost its links to the endpoints. The
+// functions have no state and change nothing but the reply of readRelayedAnswer().
 
 /** Returns whether an endpoint ran the request or may have run it, as far as this VM knows. */
 bool mayHaveRun(const ForwardExecution& execution);
