Carry out decisions on endpoint messages without a network, and log what decides them

"endpoint registrations expired" is new. The counter of expired endpoints no longer counts a removal again every 500 ms until it is applied.

Proposing the commands of a decision one after the other moves from ControlApi to EndpointMessageHandler, which needs no sockets, so that tests can check what endpoints and callers get.

--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -356,18 +356,20 @@
     return m_ports.m_propose(encodeProposedCommand(ProposedCommand { m_proposer, number, std::move(command) }));
 }
 
-void ControlService::proposeInternal(const std::string& key, CommandBody body, MonotonicTime now)
+bool ControlService::proposeInternal(const std::string& key, CommandBody body, MonotonicTime now)
 {
     const auto earlier = m_internalProposals.find(key);
     if (earlier != m_internalProposals.end() && now < earlier->second.second + proposalRetryInterval)
-        return;
+        return false;
     const std::uint64_t number = ++m_lastNumber;
     Command command;
     command.m_body = std::move(body);
     // Recorded before the call, because a log with one member may apply the entry before it returns.
     m_internalProposals[key] = { number, now };
-    if (!proposeCommand(std::move(command), number))
-        m_internalProposals.erase(key);
+    if (proposeCommand(std::move(command), number))
+        return true;
+    m_internalProposals.erase(key);
+    return false;
 }
 
 bool ControlService::handle(LinkId link, Session&, const StatusRequest& request, MonotonicTime now)
--- a/src/libflamingo/control/controlservice.h
+++ b/src/libflamingo/control/controlservice.h
@@ -155,8 +155,9 @@
     bool hasSession(const VmProcess& process) const;
 
     bool proposeCommand(Command command, std::uint64_t number);
-    // Proposes a command of the service itself unless one with the same key was proposed a short time ago.
-    void proposeInternal(const std::string& key, CommandBody body, MonotonicTime now);
+    // Proposes a command of the service itself unless one with the same key was proposed a short time ago. Returns
+    // whether it was proposed.
+    bool proposeInternal(const std::string& key, CommandBody body, MonotonicTime now);
     void updateEndpointsLastHeard(const std::vector<Change>& changes, MonotonicTime now);
     void replyToPending(std::uint64_t number, const CommandResult& result);
 
--- a/src/libflamingo/control/controlserviceports.h
+++ b/src/libflamingo/control/controlserviceports.h
@@ -32,6 +32,8 @@
     // Sends one encoded message; a send failure is reported later through onLinkClosed().
     std::function<void(LinkId, const std::string& bytes)> m_send;
     std::function<LogTime()> m_wallClock;
+    // Called when the leader proposes to remove endpoints that stopped renewing. May be unset.
+    std::function<void(const RemoveEndpoints& removal, Milliseconds ttl)> m_onEndpointsExpired;
     // Answers a request about members, leases or claims, or changes the members of the log. May be unset.
     std::function<AdminReply(const AdminRequest&)> m_administer;
 };
--- a/src/libflamingo/control/controlservicetick.cpp
+++ b/src/libflamingo/control/controlservicetick.cpp
@@ -143,8 +143,11 @@
     }
     if (!batchIsDue)
         return;
+    if (!proposeInternal("remove endpoints", removal, now))
+        return;
     m_counters.m_endpointsExpired += removal.m_targets.size();
-    proposeInternal("remove endpoints", std::move(removal), now);
+    if (m_ports.m_onEndpointsExpired)
+        m_ports.m_onEndpointsExpired(removal, m_settings.m_endpointTtl);
 }
 
 void ControlService::departVms(MonotonicTime now)
--- a/src/libflamingo/daemon/controlapi.cpp
+++ b/src/libflamingo/daemon/controlapi.cpp
@@ -20,6 +20,7 @@
     : m_protocol(protocol)
     , m_service(service)
     , m_member(member)
+    , m_endpoints(service)
     , m_server(io, [this](const ExchangePtr& exchange) { handle(exchange); })
 {
     CallerLimits limits;
@@ -55,43 +56,22 @@
 
 void ControlApi::handle(const ExchangePtr& exchange, const EndpointHeartbeat& heartbeat)
 {
-    const EndpointId& endpoint = heartbeat.m_endpoint.m_id;
-    const HeartbeatDecision decision = decideHeartbeat(m_service.state(), heartbeat);
-    if (decision.m_renews)
-        m_service.recordEndpointRenewal(endpoint, monotonicNow());
-    carryOut(exchange, endpoint, decision);
+    handleEndpoint(exchange, heartbeat);
 }
 
 void ControlApi::handle(const ExchangePtr& exchange, const EndpointDeparture& departure)
 {
-    carryOut(exchange, departure.m_endpoint, decideDeparture(m_service.state(), departure));
+    handleEndpoint(exchange, departure);
 }
 
-void ControlApi::carryOut(const ExchangePtr& exchange, const EndpointId& endpoint, const HeartbeatDecision& decision)
+void ControlApi::handleEndpoint(const ExchangePtr& exchange, const EndpointMessage& message)
 {
-    if (*decision.m_explanation != '\0') {
-        FLAMINGO_LOG(Info, "heartbeat handled", { "endpoint", endpoint.value() }, { "why", decision.m_explanation },
-            { "commands", std::to_string(decision.m_commands.size()) },
-            { "revision", std::to_string(m_service.state().m_published.m_revision.value()) });
-    }
-    submitNext(exchange, std::make_shared<std::vector<CommandBody>>(decision.m_commands), 0);
-}
-
-void ControlApi::submitNext(
-    const ExchangePtr& exchange, const std::shared_ptr<std::vector<CommandBody>>& commands, std::size_t next)
-{
-    if (next == commands->size()) {
-        answer(*exchange, ResultCode::Ok);
-        return;
-    }
-    Command command;
-    command.m_body = std::move((*commands)[next]);
-    m_service.submit(std::move(command), [this, exchange, commands, next](const CommandResult& result) {
-        if (result.m_code == ResultCode::Ok)
-            submitNext(exchange, commands, next + 1);
-        else
-            answer(*exchange, result.m_code, result.m_text);
-    });
+    m_endpoints.handle(
+        message,
+        [this, exchange](ResultCode code, const std::string& text) {
+            answer(*exchange, code, code == ResultCode::Ok ? std::string() : text);
+        },
+        monotonicNow());
 }
 
 void ControlApi::handle(const ExchangePtr& exchange, RoutesUpload& upload)
--- a/src/libflamingo/daemon/controlapi.h
+++ b/src/libflamingo/daemon/controlapi.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/controlprotocol.h"
-#include "control/heartbeatdecision.h"
+#include "control/endpointmessagehandler.h"
 #include "http/httpserver.h"
 
 #include <functional>
@@ -47,15 +47,14 @@
     void handle(const ExchangePtr& exchange, const EndpointDeparture& departure);
     void handle(const ExchangePtr& exchange, RoutesUpload& upload);
     void handle(const ExchangePtr& exchange, const RoutesRead& read);
-    void carryOut(const ExchangePtr& exchange, const EndpointId& endpoint, const HeartbeatDecision& decision);
-    void submitNext(
-        const ExchangePtr& exchange, const std::shared_ptr<std::vector<CommandBody>>& commands, std::size_t next);
+    void handleEndpoint(const ExchangePtr& exchange, const EndpointMessage& message);
     void answer(HttpExchange& exchange, ResultCode code, std::string text = {});
     std::string leaderApi() const;
 
     const ControlProtocol& m_protocol;
     ControlService& m_service;
     const ConsensusMember& m_member;
+    EndpointMessageHandler m_endpoints;
     SocketAddress m_address;
     HttpServer m_server;
 };
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -15,6 +15,27 @@
 
 namespace flamingo {
 
+namespace {
+
+// Limits the length of the log line when many endpoints expire at the same time.
+constexpr std::size_t maxLoggedEndpoints = 8;
+
+void logExpiredEndpoints(const RemoveEndpoints& removal, Milliseconds ttl)
+{
+    std::string endpoints;
+    std::size_t draining = 0;
+    for (std::size_t number = 0; number < removal.m_targets.size(); ++number) {
+        const RemoveEndpoints::Target& target = removal.m_targets[number];
+        draining += target.m_expired ? 0 : 1;
+        if (number < maxLoggedEndpoints)
+            endpoints += (number > 0 ? "," : "") + target.m_endpoint.value();
+    }
+    FLAMINGO_LOG(Info, "endpoint registrations expired", { "count", removal.m_targets.size() },
+        { "draining", draining }, { "endpoints", endpoints }, { "ttl_ms", ttl });
+}
+
+} // namespace
+
 ControlRole::ControlRole(
     boost::asio::io_context& io, ControlRoleSettings settings, std::function<void(const Reason&)> onFailure)
     : m_io(io)
@@ -113,6 +134,7 @@
             m_server->send(link, bytes);
     };
     ports.m_wallClock = wallClock;
+    ports.m_onEndpointsExpired = logExpiredEndpoints;
     ports.m_administer = [this](const AdminRequest& request) { return administer(request); };
     // The seed serves as proposer number, which must be unpredictable and differ between processes.
     m_service = std::make_unique<ControlService>(std::move(ports), m_settings.m_member.m_seed, m_settings.m_service);
