Record the departure of an endpoint whose registration has expired

Its departure was then handled with why="endpoint is not registered" and commands=0: acknowledged, but not recorded. A heartbeat that it had sent before the cut arrived 0.7 s later, was handled with why="new endpoint" and commands=1, and registered the endpoint as ready. A departure that changes no registration left no trace, since only the removal of a registered endpoint was recorded.

Now each departure is a command of the replicated log, which records the incarnation also if it is not registered. At most 131,072 departures are recorded; beyond that one of an unregistered endpoint is refused and not acknowledged.

--- a/src/libflamingo/control/endpointmessagehandler.cpp
+++ b/src/libflamingo/control/endpointmessagehandler.cpp
@@ -41,6 +41,10 @@
     if (decision.m_renews)
         m_service.recordEndpointRenewal(endpointOf(message), now);
     logDecision(message, decision);
+    if (decision.m_refusal != ResultCode::Ok) {
+        handler(decision.m_refusal, decision.m_explanation);
+        return;
+    }
     proposeNext(std::make_shared<PendingMessage>(PendingMessage { decision.m_commands, 0, std::move(handler) }));
 }
 
@@ -84,7 +88,7 @@
         { "left",
             describe(left != state.m_leftEndpoints.end() ? std::optional(left->second.m_incarnation) : std::nullopt) },
         { "why", decision.m_explanation }, { "commands", decision.m_commands.size() },
-        { "revision", state.m_published.m_revision.value() });
+        { "code", static_cast<int>(decision.m_refusal) }, { "revision", state.m_published.m_revision.value() });
 }
 
 } // namespace flamingo
--- a/src/libflamingo/control/endpointmessagehandler.h
+++ b/src/libflamingo/control/endpointmessagehandler.h
@@ -34,7 +34,8 @@
     /**
      * Handles a message; the outcome may be known before this function returns.
      *
-     * The outcome is NotLeader or CommandOutcomeUnknown if this VM is not or no longer the leader.
+     * The outcome is NotLeader or CommandOutcomeUnknown if this VM is not or no longer the leader, and Overloaded if
+     * too many departures are recorded.
      */
     void handle(const EndpointMessage& message, OutcomeHandler handler, MonotonicTime now);
 
--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -4,10 +4,16 @@
 
 namespace {
 
-bool hasLeft(const ControlState& state, const EndpointRecord& endpoint)
+bool hasLeft(const ControlState& state, const EndpointId& endpoint, Incarnation incarnation)
 {
-    const auto left = state.m_leftEndpoints.find(endpoint.m_id);
-    return left != state.m_leftEndpoints.end() && left->second.m_incarnation >= endpoint.m_incarnation;
+    const auto left = state.m_leftEndpoints.find(endpoint);
+    return left != state.m_leftEndpoints.end() && left->second.m_incarnation >= incarnation;
+}
+
+/** Returns whether there is no room to record that another endpoint has left. */
+bool isFullOfDepartures(const ControlState& state, const EndpointId& endpoint)
+{
+    return state.m_leftEndpoints.size() >= maxLeftEndpoints && state.m_leftEndpoints.count(endpoint) == 0;
 }
 
 /** Returns another endpoint that is registered with the same address, or null. */
@@ -49,7 +55,7 @@
 {
     const EndpointRecord& endpoint = heartbeat.m_endpoint;
     HeartbeatDecision decision;
-    if (hasLeft(state, endpoint)) {
+    if (hasLeft(state, endpoint.m_id, endpoint.m_incarnation)) {
         decision.m_explanation = "late: this incarnation has left";
         return decision;
     }
@@ -77,12 +83,25 @@
 {
     HeartbeatDecision decision;
     const auto known = state.m_published.m_endpoints.find(departure.m_endpoint);
-    if (known == state.m_published.m_endpoints.end()) {
-        decision.m_explanation = "endpoint is not registered";
+    const bool registered = known != state.m_published.m_endpoints.end();
+    const Incarnation leaving
+        = departure.m_incarnation.value_or(registered ? known->second.m_incarnation : Incarnation());
+    if (hasLeft(state, departure.m_endpoint, leaving)) {
+        decision.m_explanation = "this incarnation has left already";
+        return decision;
+    }
+    if (!registered) {
+        if (isFullOfDepartures(state, departure.m_endpoint)) {
+            decision.m_refusal = ResultCode::Overloaded;
+            decision.m_explanation = "too many departures are recorded";
+            return decision;
+        }
+        decision.m_explanation = "endpoint that is not registered is leaving";
+        decision.m_commands.push_back(RemoveEndpoints { { { departure.m_endpoint, leaving, false } } });
         return decision;
     }
     const Incarnation current = known->second.m_incarnation;
-    if (departure.m_incarnation && *departure.m_incarnation < current) {
+    if (leaving < current) {
         decision.m_explanation = "late: a later incarnation is registered";
         return decision;
     }
--- a/src/libflamingo/control/heartbeatdecision.h
+++ b/src/libflamingo/control/heartbeatdecision.h
@@ -1,16 +1,23 @@
 #pragma once
 
+#include "base/resultcode.h"
 #include "control/command.h"
 #include "control/controlprotocol.h"
 #include "control/controlstate.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace flamingo {
 
+// Limit on the departures that are recorded at the same time, more than the endpoints of the largest fleet. Beyond it,
+// a departure of an endpoint that is not registered is refused, because it could not be kept.
+constexpr std::size_t maxLeftEndpoints = 131072;
+
 /** Actions of the leader on a heartbeat or departure, taken before it acknowledges the message. */
 struct HeartbeatDecision {
     std::vector<CommandBody> m_commands; // commands to propose, in this order
+    ResultCode m_refusal = ResultCode::Ok; // if it is not Ok, the message is refused with this code
     bool m_renews = false; // the heartbeat renews a registered endpoint
     const char* m_explanation = ""; // reason of the decision, for the log; empty for a plain renewal
 };
@@ -24,7 +31,13 @@
  */
 HeartbeatDecision decideHeartbeat(const ControlState& state, const EndpointHeartbeat& heartbeat);
 
-/** Decides on a departure. A departure of an earlier incarnation changes nothing. Not thread-safe for one state. */
+/**
+ * Decides on a departure. Not thread-safe for one state.
+ *
+ * A departure is recorded also if its endpoint is not registered, for example because its registration has expired, so
+ * that a late heartbeat does not register it. One of an earlier incarnation changes nothing. A departure without an
+ * incarnation is of the registered one, or of an endpoint that states none in its heartbeats either.
+ */
 HeartbeatDecision decideDeparture(const ControlState& state, const EndpointDeparture& departure);
 
 } // namespace flamingo
--- a/src/libflamingo/control/tests/heartbeattest.cpp
+++ b/src/libflamingo/control/tests/heartbeattest.cpp
@@ -107,3 +107,29 @@
         }
     }
 }
+
+// Guards against a departure that is acknowledged although it cannot be kept, and against records without limit.
+TEST_CASE("departures beyond the limit on records are refused", "[control]")
+{
+    EndpointDirectory directory;
+    directory.receive(heartbeat("a", 1));
+    for (std::size_t number = 0; number < maxLeftEndpoints; ++number)
+        directory.m_state.m_leftEndpoints[EndpointId("left" + std::to_string(number))].m_incarnation = Incarnation(1);
+
+    SECTION("if their endpoint is not registered")
+    {
+        const HeartbeatDecision decision = decideDeparture(directory.m_state, { EndpointId("b"), Incarnation(1) });
+        CHECK(decision.m_refusal == ResultCode::Overloaded);
+        CHECK(decision.m_commands.empty());
+    }
+    SECTION("but not that of a registered endpoint")
+    {
+        CHECK(directory.leave("a", 1) == 1);
+        CHECK_FALSE(directory.has("a"));
+    }
+    SECTION("nor one that replaces the record of an earlier incarnation")
+    {
+        CHECK(directory.leave("left0", 2) == 1);
+        CHECK(directory.receive(heartbeat("left0", 2, "10.0.0.2")) == 0);
+    }
+}
