Keep what an endpoint said of its departure for each of its incarnations

Callers would reach a departed endpoint, or one that drained, after these orders of messages; no run of real processes has shown them, the new tests do: - An incarnation leaves before its first heartbeat arrives, while an earlier one is registered. The departure was recorded for the earlier one, and the late heartbeat registered the departed one. - An earlier incarnation leaves while a later one is registered. Nothing was recorded, and once the later one had expired a late heartbeat registered the departed one. - A drained incarnation is replaced by a later one, which expires. A late heartbeat registered the drained one as ready.

The registration was the only place that remembered what an incarnation had said. Now a departure is recorded for the incarnation that it names, a record of a later one is not replaced by an earlier one, and an incarnation is recorded as having left when a later one replaces it.

--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -16,6 +16,13 @@
     return state.m_leftEndpoints.size() >= maxLeftEndpoints && state.m_leftEndpoints.count(endpoint) == 0;
 }
 
+/** Returns the registered endpoint, or null. */
+const EndpointRecord* findEndpoint(const ControlState& state, const EndpointId& endpoint)
+{
+    const auto found = state.m_published.m_endpoints.find(endpoint);
+    return found != state.m_published.m_endpoints.end() ? &found->second : nullptr;
+}
+
 /** Returns another endpoint that is registered with the same address, or null. */
 const EndpointRecord* otherAtAddress(const PublishedState& published, const EndpointRecord& endpoint)
 {
@@ -32,19 +39,26 @@
         && a.m_dataCentre == b.m_dataCentre;
 }
 
+/**
+ * Registers an endpoint in place of any other one with its address.
+ *
+ * An earlier incarnation of the endpoint is recorded as having left. Otherwise a late heartbeat would register it when
+ * the later one has expired, also if it had drained.
+ */
 HeartbeatDecision registerEndpoint(const ControlState& state, const EndpointRecord& endpoint, const char* explanation)
 {
     HeartbeatDecision decision;
     decision.m_explanation = explanation;
-    if (const EndpointRecord* other = otherAtAddress(state.m_published, endpoint)) {
-        if (other->m_incarnation > endpoint.m_incarnation) {
-            decision.m_explanation = "late: the address belongs to an endpoint with a later incarnation";
-            return decision;
-        }
-        RemoveEndpoints removal;
-        removal.m_targets.push_back({ other->m_id, other->m_incarnation, false });
-        decision.m_commands.push_back(std::move(removal));
+    const EndpointRecord* other = otherAtAddress(state.m_published, endpoint);
+    if (other && other->m_incarnation > endpoint.m_incarnation) {
+        decision.m_explanation = "late: the address belongs to an endpoint with a later incarnation";
+        return decision;
     }
+    const EndpointRecord* registered = findEndpoint(state, endpoint.m_id);
+    if (registered && registered->m_incarnation < endpoint.m_incarnation)
+        decision.m_commands.push_back(RemoveEndpoints { { { endpoint.m_id, registered->m_incarnation, false } } });
+    if (other)
+        decision.m_commands.push_back(RemoveEndpoints { { { other->m_id, other->m_incarnation, false } } });
     decision.m_commands.push_back(RegisterEndpoint { endpoint, {} });
     return decision;
 }
@@ -82,32 +96,28 @@
 HeartbeatDecision decideDeparture(const ControlState& state, const EndpointDeparture& departure)
 {
     HeartbeatDecision decision;
-    const auto known = state.m_published.m_endpoints.find(departure.m_endpoint);
-    const bool registered = known != state.m_published.m_endpoints.end();
+    const EndpointRecord* registered = findEndpoint(state, departure.m_endpoint);
     const Incarnation leaving
-        = departure.m_incarnation.value_or(registered ? known->second.m_incarnation : Incarnation());
+        = departure.m_incarnation.value_or(registered ? registered->m_incarnation : Incarnation());
     if (hasLeft(state, departure.m_endpoint, leaving)) {
         decision.m_explanation = "this incarnation has left already";
         return decision;
     }
-    if (!registered) {
-        if (isFullOfDepartures(state, departure.m_endpoint)) {
-            decision.m_refusal = ResultCode::Overloaded;
-            decision.m_explanation = "too many departures are recorded";
-            return decision;
-        }
-        decision.m_explanation = "endpoint that is not registered is leaving";
-        decision.m_commands.push_back(RemoveEndpoints { { { departure.m_endpoint, leaving, false } } });
-        return decision;
-    }
-    const Incarnation current = known->second.m_incarnation;
-    if (leaving < current) {
-        decision.m_explanation = "late: a later incarnation is registered";
+    RemoveEndpoints removal;
+    if (registered && registered->m_incarnation <= leaving) {
+        decision.m_explanation = "endpoint is leaving";
+        // The last target is the one that stays on record.
+        if (registered->m_incarnation < leaving)
+            removal.m_targets.push_back({ departure.m_endpoint, registered->m_incarnation, false });
+    } else if (isFullOfDepartures(state, departure.m_endpoint)) {
+        decision.m_refusal = ResultCode::Overloaded;
+        decision.m_explanation = "too many departures are recorded";
         return decision;
+    } else {
+        decision.m_explanation = registered ? "endpoint of which a later incarnation is registered is leaving"
+                                            : "endpoint that is not registered is leaving";
     }
-    decision.m_explanation = "endpoint is leaving";
-    RemoveEndpoints removal;
-    removal.m_targets.push_back({ departure.m_endpoint, current, false });
+    removal.m_targets.push_back({ departure.m_endpoint, leaving, false });
     decision.m_commands.push_back(std::move(removal));
     return decision;
 }
--- a/src/libflamingo/control/heartbeatdecision.h
+++ b/src/libflamingo/control/heartbeatdecision.h
@@ -34,9 +34,10 @@
 /**
  * Decides on a departure. Not thread-safe for one state.
  *
- * A departure is recorded also if its endpoint is not registered, for example because its registration has expired, so
- * that a late heartbeat does not register it. One of an earlier incarnation changes nothing. A departure without an
- * incarnation is of the registered one, or of an endpoint that states none in its heartbeats either.
+ * The departure is recorded for the incarnation that it names, also if that one is not registered, for example because
+ * its registration has expired: a late heartbeat then does not register it. An earlier incarnation that is registered
+ * is removed, a later one is not. A departure without an incarnation is of the registered one, or of an endpoint that
+ * states none in its heartbeats either.
  */
 HeartbeatDecision decideDeparture(const ControlState& state, const EndpointDeparture& departure);
 
--- a/src/libflamingo/control/tests/endpointreporttest.cpp
+++ b/src/libflamingo/control/tests/endpointreporttest.cpp
@@ -67,3 +67,74 @@
         CHECK(*receipt == Receipt::Refused);
     }
 }
+
+// Guards against a departure that is recorded for another incarnation than the one that said so.
+TEST_CASE("the departure of an endpoint holds for the incarnation that it names", "[control]")
+{
+    EndpointReports reports;
+    reports.report(readyHeartbeat("a", 5));
+
+    SECTION("a later incarnation than the registered one leaves before its first heartbeat arrives")
+    {
+        CHECK(reports.report(departure("a", 6)) == Receipt::Acknowledged);
+        CHECK_FALSE(reports.isCalled("a"));
+        reports.report(readyHeartbeat("a", 6));
+        CHECK_FALSE(reports.isCalled("a"));
+
+        SECTION("and the earlier one does not return either")
+        {
+            reports.report(readyHeartbeat("a", 5));
+            CHECK_FALSE(reports.isCalled("a"));
+        }
+        SECTION("but the next one is called at once")
+        {
+            reports.report(readyHeartbeat("a", 7));
+            CHECK(reports.calledIncarnation("a") == 7);
+        }
+    }
+    SECTION("an earlier incarnation leaves late, and does not return when the later one has expired")
+    {
+        reports.expireAll();
+        reports.report(readyHeartbeat("a", 6));
+        CHECK(reports.report(departure("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.calledIncarnation("a") == 6);
+        reports.expireAll();
+        reports.report(readyHeartbeat("a", 5));
+        CHECK_FALSE(reports.isCalled("a"));
+
+        SECTION("while the later one is called again")
+        {
+            reports.report(readyHeartbeat("a", 6));
+            CHECK(reports.calledIncarnation("a") == 6);
+        }
+    }
+    SECTION("a late departure of an earlier incarnation does not replace the record of a later one")
+    {
+        reports.report(departure("a", 6));
+        CHECK(reports.report(departure("a", 5)) == Receipt::Acknowledged);
+        reports.report(readyHeartbeat("a", 6));
+        CHECK_FALSE(reports.isCalled("a"));
+    }
+}
+
+// Guards against calls to a replaced incarnation, also one that drained, when a late heartbeat finds its id unregistered.
+TEST_CASE("an incarnation that was replaced is not called again", "[control]")
+{
+    EndpointReports reports;
+    reports.report(readyHeartbeat("a", 5));
+    const bool drained = GENERATE(false, true);
+    CAPTURE(drained);
+    if (drained)
+        reports.report(drainingHeartbeat("a", 5));
+    reports.report(readyHeartbeat("a", 6));
+    CHECK(reports.calledIncarnation("a") == 6);
+    reports.expireAll();
+    reports.report(readyHeartbeat("a", 5));
+    CHECK_FALSE(reports.isCalled("a"));
+
+    SECTION("while the later one is called again")
+    {
+        reports.report(readyHeartbeat("a", 6));
+        CHECK(reports.calledIncarnation("a") == 6);
+    }
+}
