Keep the drain of an endpoint when its registration expires

Callers would get new calls sent to a draining endpoint after these orders; the new test shows them, no run of real processes has: - A draining endpoint is cut off until its registration expires, and a heartbeat from before the drain arrives later. It registered the endpoint as ready. - The drain arrives when the registration has expired and a later incarnation, or another endpoint at the same address, is registered. It was acknowledged and ignored; once the later one was gone, a late heartbeat registered the drained one.

Cause: draining was a flag of the registration and ended with it. Now the leader removes a silent endpoint that drains as one that has left, and a draining heartbeat of an incarnation that is not registered is recorded like its departure. An endpoint that said nothing before its registration expired registers again as before.

--- a/src/libflamingo/control/controlservicetick.cpp
+++ b/src/libflamingo/control/controlservicetick.cpp
@@ -2,6 +2,7 @@
 #include "control/codec.h"
 #include "control/controlservice.h"
 #include "control/digest.h"
+#include "control/heartbeatdecision.h"
 
 #include <algorithm>
 
@@ -138,7 +139,7 @@
             = heard != m_endpointLastHeard.end() ? std::max(heard->second, m_silenceCountedFrom) : m_silenceCountedFrom;
         if (now - last < m_settings.m_endpointTtl)
             continue;
-        removal.m_targets.push_back({ id, endpoint.m_incarnation, true });
+        removal.m_targets.push_back(decideExpiry(endpoint));
         batchIsDue = batchIsDue || now - last >= m_settings.m_endpointTtl + m_settings.m_removalBatchDelay;
     }
     if (!batchIsDue)
--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -73,21 +73,24 @@
         decision.m_explanation = "late: this incarnation has left";
         return decision;
     }
-    const auto known = state.m_published.m_endpoints.find(endpoint.m_id);
-    if (known == state.m_published.m_endpoints.end())
+    const EndpointRecord* registered = findEndpoint(state, endpoint.m_id);
+    // A draining endpoint that is not registered needs no registration, since it gets no new calls. A record that it
+    // has left also outlasts the registration of other incarnations and of other endpoints at its address.
+    if (endpoint.m_draining && (!registered || registered->m_incarnation != endpoint.m_incarnation))
+        return decideDeparture(state, { endpoint.m_id, endpoint.m_incarnation });
+    if (!registered)
         return registerEndpoint(state, endpoint, "new endpoint");
-    const EndpointRecord& record = known->second;
-    if (record.m_incarnation > endpoint.m_incarnation) {
+    if (registered->m_incarnation > endpoint.m_incarnation) {
         decision.m_explanation = "late: a later incarnation is registered";
         return decision;
     }
-    if (record.m_incarnation < endpoint.m_incarnation)
+    if (registered->m_incarnation < endpoint.m_incarnation)
         return registerEndpoint(state, endpoint, "new incarnation");
     decision.m_renews = true;
-    if (endpoint.m_draining && !record.m_draining) {
+    if (endpoint.m_draining && !registered->m_draining) {
         decision.m_explanation = "endpoint is draining";
         decision.m_commands.push_back(DrainOwnEndpoint { endpoint.m_id, endpoint.m_incarnation });
-    } else if (!sameRegistration(record, endpoint)) {
+    } else if (!sameRegistration(*registered, endpoint)) {
         return registerEndpoint(state, endpoint, "registration changed");
     }
     return decision;
@@ -122,4 +125,9 @@
     return decision;
 }
 
+RemoveEndpoints::Target decideExpiry(const EndpointRecord& endpoint)
+{
+    return { endpoint.m_id, endpoint.m_incarnation, !endpoint.m_draining };
+}
+
 } // namespace flamingo
--- a/src/libflamingo/control/heartbeatdecision.h
+++ b/src/libflamingo/control/heartbeatdecision.h
@@ -26,8 +26,8 @@
  * Decides on a heartbeat. Not thread-safe for one state.
  *
  * A heartbeat is late if its incarnation was replaced or has left, or if its address belongs to an endpoint with a
- * later incarnation. A late heartbeat is acknowledged and changes nothing. Draining is final for an incarnation, so
- * that the order of the messages of one incarnation does not matter.
+ * later incarnation. A late heartbeat is acknowledged and does not register its endpoint. Draining is final for an
+ * incarnation, also if it is not registered, so that the order of the messages of one incarnation does not matter.
  */
 HeartbeatDecision decideHeartbeat(const ControlState& state, const EndpointHeartbeat& heartbeat);
 
@@ -41,4 +41,11 @@
  */
 HeartbeatDecision decideDeparture(const ControlState& state, const EndpointDeparture& departure);
 
+/**
+ * Decides how an endpoint that stopped renewing is removed. Thread-safe.
+ *
+ * One that was draining has left: it must not get new calls if its heartbeats return. Any other may register again.
+ */
+RemoveEndpoints::Target decideExpiry(const EndpointRecord& endpoint);
+
 } // namespace flamingo
--- a/src/libflamingo/control/tests/endpointreporttest.cpp
+++ b/src/libflamingo/control/tests/endpointreporttest.cpp
@@ -117,7 +117,8 @@
     }
 }
 
-// Guards against calls to a replaced incarnation, also one that drained, when a late heartbeat finds its id unregistered.
+// Guards against calls to a replaced incarnation, also one that drained, when a late heartbeat finds its id
+// unregistered.
 TEST_CASE("an incarnation that was replaced is not called again", "[control]")
 {
     EndpointReports reports;
@@ -138,3 +139,61 @@
         CHECK(reports.calledIncarnation("a") == 6);
     }
 }
+
+// Guards against new calls to an endpoint that drains, because what it said is lost with its registration.
+TEST_CASE("the drain of an endpoint holds although its registration is lost", "[control]")
+{
+    EndpointReports reports;
+    reports.report(readyHeartbeat("a", 5));
+
+    SECTION("because it expires after the drain")
+    {
+        REQUIRE(reports.report(drainingHeartbeat("a", 5)) == Receipt::Acknowledged);
+        REQUIRE_FALSE(reports.isCalled("a"));
+        reports.expireAll();
+        CHECK(reports.report(readyHeartbeat("a", 5)) == Receipt::Acknowledged);
+        CHECK_FALSE(reports.isCalled("a"));
+
+        SECTION("also under another leader that was restarted from a snapshot")
+        {
+            reports.restart();
+            reports.report(readyHeartbeat("a", 5));
+            CHECK_FALSE(reports.isCalled("a"));
+        }
+        SECTION("but a later incarnation is called at once")
+        {
+            reports.report(readyHeartbeat("a", 6));
+            CHECK(reports.calledIncarnation("a") == 6);
+        }
+    }
+    SECTION("because it had expired before the drain")
+    {
+        reports.expireAll();
+        REQUIRE(reports.report(drainingHeartbeat("a", 5)) == Receipt::Acknowledged);
+        reports.report(readyHeartbeat("a", 5));
+        CHECK_FALSE(reports.isCalled("a"));
+        reports.expireAll();
+        reports.report(readyHeartbeat("a", 5));
+        CHECK_FALSE(reports.isCalled("a"));
+    }
+    SECTION("because a later incarnation is registered when the drain arrives, and expires")
+    {
+        reports.expireAll();
+        reports.report(readyHeartbeat("a", 6));
+        CHECK(reports.report(drainingHeartbeat("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.calledIncarnation("a") == 6);
+        reports.expireAll();
+        reports.report(readyHeartbeat("a", 5));
+        CHECK_FALSE(reports.isCalled("a"));
+    }
+    SECTION("because its address belongs to a later endpoint when the drain arrives, which leaves")
+    {
+        reports.expireAll();
+        reports.report(readyHeartbeat("b", 6));
+        CHECK(reports.report(drainingHeartbeat("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.isCalled("b"));
+        reports.report(departure("b", 6));
+        reports.report(readyHeartbeat("a", 5));
+        CHECK_FALSE(reports.isCalled("a"));
+    }
+}
