Keep the record of a departure while the endpoint still sends heartbeats

An endpoint that left and did not end was called again after 10 minutes: the record of its departure expired, and its next heartbeat registered it. The leader now renews the record when it is half as old as its retention and a heartbeat of that incarnation arrives. "an endpoint that left is not called as long as it sends heartbeats" fails on the code before (it is called after 10 minutes) and passes now.

--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -1,5 +1,7 @@
 #include "control/heartbeatdecision.h"
 
+#include "control/apply.h"
+
 namespace flamingo {
 
 namespace {
@@ -39,6 +41,23 @@
         && a.m_dataCentre == b.m_dataCentre;
 }
 
+/**
+ * Decides on a heartbeat of an incarnation that has left.
+ *
+ * The record of its departure expires, so it is renewed while the incarnation still sends heartbeats. An earlier
+ * incarnation may be a new start after the clock was set back, and is kept out only until the record expires.
+ */
+HeartbeatDecision decideAfterDeparture(const ControlState& state, const EndpointRecord& endpoint)
+{
+    HeartbeatDecision decision;
+    decision.m_explanation = "late: this incarnation has left";
+    const LeftEndpoint& left = state.m_leftEndpoints.at(endpoint.m_id);
+    const Milliseconds age(state.m_logTime.value() - left.m_at.value());
+    if (left.m_incarnation == endpoint.m_incarnation && age >= leftEndpointRetention / 2)
+        decision.m_commands.push_back(RemoveEndpoints { { { endpoint.m_id, endpoint.m_incarnation, false } } });
+    return decision;
+}
+
 /**
  * Registers an endpoint in place of any other one with its address.
  *
@@ -69,10 +88,8 @@
 {
     const EndpointRecord& endpoint = heartbeat.m_endpoint;
     HeartbeatDecision decision;
-    if (hasLeft(state, endpoint.m_id, endpoint.m_incarnation)) {
-        decision.m_explanation = "late: this incarnation has left";
-        return decision;
-    }
+    if (hasLeft(state, endpoint.m_id, endpoint.m_incarnation))
+        return decideAfterDeparture(state, endpoint);
     const EndpointRecord* registered = findEndpoint(state, endpoint.m_id);
     // A draining endpoint that is not registered needs no registration, since it gets no new calls. A record that it
     // has left also outlasts the registration of other incarnations and of other endpoints at its address.
--- a/src/libflamingo/control/tests/endpointreporttest.cpp
+++ b/src/libflamingo/control/tests/endpointreporttest.cpp
@@ -1,3 +1,4 @@
+#include "control/apply.h"
 #include "control/tests/endpointreports.h"
 
 using namespace flamingo;
@@ -140,6 +141,39 @@
     }
 }
 
+// Guards against calls to an endpoint that left long ago and has not ended, when the record of its departure expires.
+TEST_CASE("an endpoint that left is not called as long as it sends heartbeats", "[control]")
+{
+    EndpointReports reports;
+    reports.report(readyHeartbeat("a", 5));
+    reports.report(departure("a", 5));
+    constexpr Milliseconds interval { 60000 };
+    for (Milliseconds passed { 0 }; passed < 3 * Milliseconds(leftEndpointRetention); passed += interval) {
+        reports.run(interval);
+        reports.commit();
+        CHECK(reports.report(readyHeartbeat("a", 5)) == Receipt::Acknowledged);
+        REQUIRE_FALSE(reports.isCalled("a"));
+    }
+
+    SECTION("and its record expires once they end")
+    {
+        reports.run(Milliseconds(leftEndpointRetention) + 3 * interval);
+        reports.commit();
+        CHECK(reports.m_service->state().m_leftEndpoints.empty());
+    }
+    SECTION("an earlier incarnation, whose clock may have been set back, is called when the record has expired")
+    {
+        Milliseconds passed { 0 };
+        while (!reports.isCalled("a") && passed <= Milliseconds(leftEndpointRetention) + 3 * interval) {
+            reports.run(interval);
+            reports.commit();
+            reports.report(readyHeartbeat("a", 4));
+            passed += interval;
+        }
+        CHECK(reports.calledIncarnation("a") == 4);
+    }
+}
+
 // Guards against new calls to an endpoint that drains, because what it said is lost with its registration.
 TEST_CASE("the drain of an endpoint holds although its registration is lost", "[control]")
 {
