Decide on the messages of an endpoint one after the other

Callers would reach a departed endpoint when two of its incarnations leave at the same moment: the decision on the second departure was made before the first one was committed, and the record of the earlier incarnation replaced that of the later one. A drain was refused if another endpoint at the same address registered at that moment. Both need messages within one commit of the log, or a leader whose disk stalls; only the new tests show them.

Cause: a decision was made on the applied state, which lacks what is proposed and not committed yet. Now at most one command about an endpoint is in flight, a message that needs another one waits for it, and a decision is made again after each command. Silent endpoints are not expired while a command about them is in flight. Messages of other endpoints and plain renewals do not wait. At most 10,000 messages wait; when the leader is replaced they are refused.

--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -3,6 +3,7 @@
 #include "control/apply.h"
 #include "control/codec.h"
 #include "control/digest.h"
+#include "control/endpointcommands.h"
 
 #include <algorithm>
 
@@ -65,6 +66,8 @@
     const auto pending = std::move(m_pending);
     m_pending.clear();
     m_internalProposals.clear();
+    m_endpointCommands.clear();
+    m_endpointsInFlight.clear();
     CommandResult unknown;
     unknown.m_code = ResultCode::CommandOutcomeUnknown;
     unknown.m_text = "this VM stopped being the leader before the command was applied";
@@ -350,10 +353,36 @@
         m_endpointLastHeard[endpoint] = now;
 }
 
+bool ControlService::hasEndpointCommandInFlight(const EndpointId& endpoint) const
+{
+    return m_endpointsInFlight.count(endpoint) > 0;
+}
+
 bool ControlService::proposeCommand(Command command, std::uint64_t number)
 {
+    // Recorded before the call, because a log with one member may apply the entry before it returns.
+    std::vector<EndpointId> endpoints = endpointsOf(command.m_body);
+    for (const EndpointId& endpoint : endpoints)
+        ++m_endpointsInFlight[endpoint];
+    if (!endpoints.empty())
+        m_endpointCommands.emplace(number, std::move(endpoints));
     command.m_proposedAt = m_ports.m_wallClock();
-    return m_ports.m_propose(encodeProposedCommand(ProposedCommand { m_proposer, number, std::move(command) }));
+    if (m_ports.m_propose(encodeProposedCommand(ProposedCommand { m_proposer, number, std::move(command) })))
+        return true;
+    forgetEndpointCommand(number);
+    return false;
+}
+
+void ControlService::forgetEndpointCommand(std::uint64_t number)
+{
+    const auto command = m_endpointCommands.extract(number);
+    if (command.empty())
+        return;
+    for (const EndpointId& endpoint : command.mapped()) {
+        const auto inFlight = m_endpointsInFlight.find(endpoint);
+        if (inFlight != m_endpointsInFlight.end() && --inFlight->second == 0)
+            m_endpointsInFlight.erase(inFlight);
+    }
 }
 
 bool ControlService::proposeInternal(const std::string& key, CommandBody body, MonotonicTime now)
@@ -452,6 +481,7 @@
 
 void ControlService::replyToPending(std::uint64_t number, const CommandResult& result)
 {
+    forgetEndpointCommand(number);
     for (auto own = m_internalProposals.begin(); own != m_internalProposals.end(); ++own) {
         if (own->second.first == number) {
             m_internalProposals.erase(own);
--- a/src/libflamingo/control/controlservice.h
+++ b/src/libflamingo/control/controlservice.h
@@ -87,6 +87,12 @@
     void confirmRead(std::function<void(bool)> handler, MonotonicTime now);
     /** Records that the endpoint renewed at this VM; has no effect for an unknown endpoint. */
     void recordEndpointRenewal(const EndpointId& endpoint, MonotonicTime now);
+    /** Follows a change of the role of this VM, also if it was not reported by onRoleChanged() yet. */
+    void refreshRole(MonotonicTime now);
+    /** Returns whether this VM leads and state() contains every change that was acknowledged before its term. */
+    bool isReady() const { return m_ready; }
+    /** Returns whether a command about the endpoint was proposed on this VM and its outcome is not known yet. */
+    bool hasEndpointCommandInFlight(const EndpointId& endpoint) const;
 
     /** Sends state updates and expires reads, leases, endpoints and VMs. To be called every 20 to 200 ms. */
     void tick(MonotonicTime now);
@@ -128,7 +134,6 @@
     };
     using VmProcess = std::pair<VmId, Incarnation>;
 
-    void refreshRole(MonotonicTime now);
     void becomeReady(MonotonicTime now);
     void loseLeadership();
     // True also before the leader is ready, so that it keeps its links: it becomes ready with its first commit.
@@ -160,6 +165,7 @@
     bool proposeInternal(const std::string& key, CommandBody body, MonotonicTime now);
     void updateEndpointsLastHeard(const std::vector<Change>& changes, MonotonicTime now);
     void replyToPending(std::uint64_t number, const CommandResult& result);
+    void forgetEndpointCommand(std::uint64_t number);
 
     void pushState(LinkId link, Session& session);
     const std::string* encodedDelta(Revision base, std::uint64_t baseDigest);
@@ -203,6 +209,8 @@
     std::map<std::uint64_t, PendingCommand> m_pending;
     std::vector<PendingRead> m_reads; // in order of arrival
     std::map<std::string, std::pair<std::uint64_t, MonotonicTime>> m_internalProposals; // number and time, by purpose
+    std::unordered_map<std::uint64_t, std::vector<EndpointId>> m_endpointCommands; // endpoints of proposals in flight
+    std::unordered_map<EndpointId, std::size_t> m_endpointsInFlight; // number of those proposals for each endpoint
 };
 
 } // namespace flamingo
--- a/src/libflamingo/control/controlservicetick.cpp
+++ b/src/libflamingo/control/controlservicetick.cpp
@@ -137,7 +137,8 @@
         const auto heard = m_endpointLastHeard.find(id);
         const MonotonicTime last
             = heard != m_endpointLastHeard.end() ? std::max(heard->second, m_silenceCountedFrom) : m_silenceCountedFrom;
-        if (now - last < m_settings.m_endpointTtl)
+        // A command in flight may be a drain, with which the endpoint must not be removed as merely silent.
+        if (now - last < m_settings.m_endpointTtl || hasEndpointCommandInFlight(id))
             continue;
         removal.m_targets.push_back(decideExpiry(endpoint));
         batchIsDue = batchIsDue || now - last >= m_settings.m_endpointTtl + m_settings.m_removalBatchDelay;
--- a/src/libflamingo/control/endpointmessagehandler.h
+++ b/src/libflamingo/control/endpointmessagehandler.h
@@ -20,10 +20,19 @@
 /**
  * Carries out the leader's decisions on the messages of endpoints.
  *
+ * At most one command about an endpoint is in flight, and a message that needs another one waits for it. Each decision
+ * is therefore made on a state that contains all earlier commands about the endpoint, in whatever order its messages
+ * arrive.
+ *
  * Thread safety: none; all calls on the loop of the service, which outlives the object.
  */
 class EndpointMessageHandler {
 public:
+    // Limit on the messages that wait for a command about their endpoint.
+    static constexpr std::size_t maxWaiting = 10000;
+    // Commands of other endpoints with the same address may make a message need more commands than usual.
+    static constexpr int maxCommandsPerMessage = 8;
+
     /** Called once with the outcome. The message is acknowledged if the code is Ok; otherwise the text says why not. */
     using OutcomeHandler = std::function<void(ResultCode code, const std::string& text)>;
 
@@ -35,22 +44,31 @@
      * Handles a message; the outcome may be known before this function returns.
      *
      * The outcome is NotLeader or CommandOutcomeUnknown if this VM is not or no longer the leader, and Overloaded if
-     * too many departures are recorded.
+     * too many messages wait or too many departures are recorded.
      */
-    void handle(const EndpointMessage& message, OutcomeHandler handler, MonotonicTime now);
+    void handle(EndpointMessage message, OutcomeHandler handler, MonotonicTime now);
+    /** Resumes messages that waited for a command; to be called every 20 to 200 ms. */
+    void tick(MonotonicTime now);
 
 private:
-    /** A message whose commands are not all applied yet. */
+    /** A message whose outcome is not known yet. */
     struct PendingMessage {
-        std::vector<CommandBody> m_commands;
-        std::size_t m_next = 0; // position of the next command to propose
+        EndpointMessage m_message;
         OutcomeHandler m_handler;
+        int m_commands = 0; // number of its commands that were proposed
     };
+    using PendingMessagePtr = std::shared_ptr<PendingMessage>;
 
-    void proposeNext(const std::shared_ptr<PendingMessage>& pending);
-    void logDecision(const EndpointMessage& message, const HeartbeatDecision& decision) const;
+    void advance(const PendingMessagePtr& pending);
+    bool mustWait(const HeartbeatDecision& decision) const;
+    void propose(const PendingMessagePtr& pending, CommandBody body);
+    void wait(const PendingMessagePtr& pending);
+    void resumeWaiting();
+    void logDecision(const PendingMessage& pending, const HeartbeatDecision& decision) const;
 
     ControlService& m_service;
+    std::vector<PendingMessagePtr> m_waiting; // in order of arrival
+    MonotonicTime m_now; // time of the last event
 };
 
 } // namespace flamingo
--- a/src/libflamingo/control/heartbeatdecision.h
+++ b/src/libflamingo/control/heartbeatdecision.h
@@ -14,9 +14,14 @@
 // a departure of an endpoint that is not registered is refused, because it could not be kept.
 constexpr std::size_t maxLeftEndpoints = 131072;
 
-/** Actions of the leader on a heartbeat or departure, taken before it acknowledges the message. */
+/**
+ * Actions of the leader on a heartbeat or departure, taken before it acknowledges the message.
+ *
+ * After each command of a heartbeat the decision is made again, because messages that were handled meanwhile may have
+ * changed the state.
+ */
 struct HeartbeatDecision {
-    std::vector<CommandBody> m_commands; // commands to propose, in this order
+    std::vector<CommandBody> m_commands; // commands that are needed, in this order
     ResultCode m_refusal = ResultCode::Ok; // if it is not Ok, the message is refused with this code
     bool m_renews = false; // the heartbeat renews a registered endpoint
     const char* m_explanation = ""; // reason of the decision, for the log; empty for a plain renewal
--- a/src/libflamingo/control/tests/endpointreports.h
+++ b/src/libflamingo/control/tests/endpointreports.h
@@ -111,6 +111,7 @@
             m_now += step;
             m_service->onMessage(LinkId(1), encodeMessage(Renew { 1, revision(), {}, false }), m_now);
             m_service->tick(m_now);
+            m_handler->tick(m_now);
         }
     }
     /** Lets time pass until the leader has proposed to remove all endpoints. */
--- a/src/libflamingo/control/tests/endpointreporttest.cpp
+++ b/src/libflamingo/control/tests/endpointreporttest.cpp
@@ -1,6 +1,10 @@
 #include "control/apply.h"
 #include "control/tests/endpointreports.h"
 
+#include <rapidcheck/catch.h>
+
+#include <random>
+
 using namespace flamingo;
 
 // Guards against calls to an endpoint that has said that it leaves, because a late heartbeat registers it again.
@@ -231,3 +235,181 @@
         CHECK_FALSE(reports.isCalled("a"));
     }
 }
+
+// Guards against decisions on a state that lacks what the endpoint said a moment ago, because it is not committed yet.
+TEST_CASE("concurrent messages of an endpoint are decided one after the other", "[control]")
+{
+    EndpointReports reports;
+
+    SECTION("departures of two incarnations")
+    {
+        const auto later = reports.send(departure("a", 6));
+        const auto earlier = reports.send(departure("a", 5));
+        reports.commit();
+        CHECK(*later == Receipt::Acknowledged);
+        CHECK(*earlier == Receipt::Acknowledged);
+        reports.report(readyHeartbeat("a", 6));
+        CHECK_FALSE(reports.isCalled("a"));
+    }
+    SECTION("the first heartbeat, a drain and the start of the next incarnation")
+    {
+        reports.send(readyHeartbeat("a", 5));
+        const auto drain = reports.send(drainingHeartbeat("a", 5));
+        const auto next = reports.send(readyHeartbeat("a", 6));
+        CHECK(*drain == Receipt::None);
+        reports.commit();
+        CHECK(*drain == Receipt::Acknowledged);
+        CHECK(*next == Receipt::Acknowledged);
+        CHECK(reports.calledIncarnation("a") == 6);
+        reports.expireAll();
+        reports.report(readyHeartbeat("a", 5));
+        CHECK_FALSE(reports.isCalled("a"));
+    }
+    SECTION("a drain while the registration of another endpoint at the same address is in flight")
+    {
+        reports.report(readyHeartbeat("a", 5));
+        reports.send(readyHeartbeat("b", 6));
+        const auto drain = reports.send(drainingHeartbeat("a", 5));
+        reports.commit();
+        CHECK(*drain == Receipt::Acknowledged);
+        CHECK(reports.isCalled("b"));
+        CHECK_FALSE(reports.isCalled("a"));
+    }
+    SECTION("while those of other endpoints do not wait")
+    {
+        reports.report(readyHeartbeat("b", 5, "10.0.0.2"));
+        reports.send(readyHeartbeat("a", 5));
+        CHECK(*reports.send(readyHeartbeat("b", 5, "10.0.0.2")) == Receipt::Acknowledged);
+    }
+    SECTION("and those that wait are refused when the leader is replaced")
+    {
+        const auto first = reports.send(readyHeartbeat("a", 5));
+        const auto second = reports.send(departure("a", 5));
+        reports.replaceLeader(0);
+        CHECK(*first == Receipt::Refused);
+        CHECK(*second == Receipt::Refused);
+    }
+}
+
+namespace {
+
+/** A start of an endpoint, with what it said and what was acknowledged to it. */
+struct Lifetime {
+    std::string m_id;
+    std::uint64_t m_incarnation = 0;
+    std::string m_address;
+    std::vector<std::shared_ptr<Receipt>> m_farewells; // of its departures and draining heartbeats
+};
+
+/** Plays messages of several lifetimes in random order, with commits, expiries, new leaders and restarts in between. */
+class RandomReports {
+public:
+    explicit RandomReports(std::uint64_t seed)
+        : m_random(seed)
+    {
+        constexpr std::uint64_t lifetimesPerId = 3;
+        for (std::uint64_t start = 0; start < lifetimesPerId; ++start) {
+            addLifetime("a", 10 * start + 1);
+            addLifetime("b", 10 * start + 2);
+        }
+    }
+
+    void play()
+    {
+        switch (pick(12)) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+            sendReady(any());
+            break;
+        case 4:
+        case 5:
+            sendFarewell(any());
+            break;
+        case 6:
+            m_reports.proposeExpiry();
+            break;
+        case 7:
+            m_reports.replaceLeader(pick(4));
+            break;
+        case 8:
+            m_reports.restart();
+            break;
+        default:
+            m_reports.commitOne();
+        }
+    }
+
+    /** Returns a lifetime that is called although its departure or drain was acknowledged, or null. */
+    const Lifetime* calledAfterFarewell() const
+    {
+        for (const Lifetime& lifetime : m_lifetimes) {
+            const bool acknowledged = std::any_of(lifetime.m_farewells.begin(), lifetime.m_farewells.end(),
+                [](const auto& receipt) { return *receipt == Receipt::Acknowledged; });
+            if (acknowledged && m_reports.calledIncarnation(lifetime.m_id) == lifetime.m_incarnation)
+                return &lifetime;
+        }
+        return nullptr;
+    }
+
+    /** Starts a new lifetime under a known id at a known address and returns whether it is called at once. */
+    bool newLifetimeIsCalled()
+    {
+        m_reports.commit();
+        const std::string id = any().m_id;
+        const std::string address = any().m_address;
+        constexpr std::uint64_t laterThanAll = 1000;
+        return m_reports.report(readyHeartbeat(id, laterThanAll, address)) == Receipt::Acknowledged
+            && m_reports.calledIncarnation(id) == laterThanAll;
+    }
+
+private:
+    std::uint64_t pick(std::uint64_t bound) { return m_random() % bound; }
+    Lifetime& any()
+    {
+        if (pick(3) == 0)
+            m_chosen = pick(m_lifetimes.size());
+        return m_lifetimes[m_chosen];
+    }
+    void addLifetime(const std::string& id, std::uint64_t incarnation)
+    {
+        constexpr std::uint64_t addresses = 3;
+        m_lifetimes.push_back({ id, incarnation, "10.0.0." + std::to_string(pick(addresses)), {} });
+    }
+    void sendReady(const Lifetime& lifetime)
+    {
+        m_reports.send(readyHeartbeat(lifetime.m_id, lifetime.m_incarnation, lifetime.m_address));
+    }
+    void sendFarewell(Lifetime& lifetime)
+    {
+        const bool leaves = pick(2) == 0;
+        const EndpointMessage message = leaves
+            ? EndpointMessage(departure(lifetime.m_id, lifetime.m_incarnation))
+            : EndpointMessage(drainingHeartbeat(lifetime.m_id, lifetime.m_incarnation, lifetime.m_address));
+        lifetime.m_farewells.push_back(m_reports.send(message));
+    }
+
+    std::mt19937_64 m_random;
+    EndpointReports m_reports;
+    std::vector<Lifetime> m_lifetimes;
+    std::size_t m_chosen = 0;
+};
+
+} // namespace
+
+// Guards against orders of messages, also concurrent ones, after which a departed or draining endpoint is called.
+TEST_CASE("what an endpoint said holds whatever arrives later, in whatever order", "[control]")
+{
+    rc::prop("for random messages of several lifetimes at shared addresses", [](std::uint64_t seed) {
+        RandomReports reports(seed);
+        constexpr int steps = 60;
+        for (int step = 0; step < steps; ++step) {
+            reports.play();
+            const Lifetime* called = reports.calledAfterFarewell();
+            if (called)
+                RC_FAIL(called->m_id + " " + std::to_string(called->m_incarnation) + " is called after its farewell");
+        }
+        RC_ASSERT(reports.newLifetimeIsCalled());
+    });
+}
--- a/src/libflamingo/daemon/controlapi.cpp
+++ b/src/libflamingo/daemon/controlapi.cpp
@@ -34,6 +34,8 @@
     return m_server.start(address, reason);
 }
 
+void ControlApi::tick(MonotonicTime now) { m_endpoints.tick(now); }
+
 void ControlApi::stopAccepting() { m_server.stopAccepting(); }
 
 void ControlApi::handle(const ExchangePtr& exchange)
--- a/src/libflamingo/daemon/controlapi.h
+++ b/src/libflamingo/daemon/controlapi.h
@@ -33,6 +33,9 @@
     /** Opens the port. Returns false and sets the reason if that fails. */
     bool start(const SocketAddress& address, Reason& reason);
 
+    /** Resumes calls that wait for other ones; to be called every 20 to 50 ms. */
+    void tick(MonotonicTime now);
+
     /** Closes the port; calls in flight are still answered. */
     void stopAccepting();
 
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -187,6 +187,8 @@
         return;
     m_member->tick(now);
     m_service->tick(now);
+    if (m_api)
+        m_api->tick(now);
     rejoinIfRemoved(now);
 }
 
