Keep the drains that endpoints announce through entry VMs

The product's own interface for endpoints has the same fault as the heartbeats of routed endpoints: after a drain, a delayed registration of the same incarnation made the endpoint ready again when its registration had expired before the drain, when another incarnation had replaced it, or when its service had been dropped and created again. In the first case the drain was also answered with 4007 UnknownName.

The leader now records a drain of an unregistered incarnation as its departure, and records draining endpoints as having left before a command that replaces or drops their registration.

Incarnations of this interface are random numbers, so that the record holds only the last one that left under an id; this limit is unchanged.

--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -287,7 +287,7 @@
     return std::nullopt;
 }
 
-bool ControlService::handle(LinkId link, Session& session, const CommandRequest& request, MonotonicTime)
+bool ControlService::handle(LinkId link, Session& session, const CommandRequest& request, MonotonicTime now)
 {
     ++m_counters.m_commands;
     if (!isLeader()) {
@@ -305,9 +305,14 @@
         send(link, CommandReply { request.m_sequence, result });
         return true;
     }
+    Command command = request.m_command;
+    std::vector<CommandBody> bodies = keepingDepartures(m_state, command);
+    command.m_body = std::move(bodies.back());
     const std::uint64_t number = ++m_lastNumber;
+    if (bodies.size() > 1)
+        proposeInternal("departures before command " + std::to_string(number), std::move(bodies.front()), now);
     m_pending[number] = PendingCommand { link, request.m_sequence, nullptr };
-    if (!proposeCommand(request.m_command, number)) {
+    if (!proposeCommand(std::move(command), number)) {
         ++m_counters.m_commandsRefused;
         m_pending.erase(number);
         sendNotLeader(link, request.m_sequence);
--- a/src/libflamingo/control/tests/servicetest.cpp
+++ b/src/libflamingo/control/tests/servicetest.cpp
@@ -384,3 +384,60 @@
         REQUIRE(fixture.status(left.m_revision).m_inForce);
     }
 }
+
+// Guards against a drain that is lost with the registration, so that a delayed registration makes the endpoint ready.
+TEST_CASE("The leader keeps what endpoints said of their shutdown through entry VMs")
+{
+    ServiceFixture fixture;
+    fixture.open(1, "vm1");
+    fixture.command(1, CreateService { ServiceName("verse"), {} }, "c1");
+    fixture.command(1, registration("e1", "verse", 1, 0));
+    const auto registerAgain = [&fixture] { return fixture.command(1, registration("e1", "verse", 1, 0)).m_code; };
+    const DrainOwnEndpoint drain { EndpointId("e1"), Incarnation(1) };
+
+    SECTION("when the registration of a draining endpoint expires")
+    {
+        REQUIRE(fixture.command(1, drain).m_code == ResultCode::Ok);
+        for (int second = 0; second < 15; ++second) {
+            fixture.renew(1, fixture.revision());
+            fixture.run(Milliseconds(1000));
+        }
+        REQUIRE(fixture.published().m_endpoints.empty());
+        CHECK(registerAgain() == ResultCode::InvalidField);
+    }
+    SECTION("when the registration had expired before the drain")
+    {
+        fixture.command(1, RemoveEndpoints { { { EndpointId("e1"), Incarnation(1), true } } });
+        CHECK(fixture.command(1, drain).m_code == ResultCode::Ok);
+        CHECK(registerAgain() == ResultCode::InvalidField);
+        CHECK(fixture.command(1, registration("e1", "verse", 1, 0, 2)).m_code == ResultCode::Ok);
+    }
+    SECTION("when another incarnation replaces a draining endpoint and expires")
+    {
+        fixture.command(1, drain);
+        CHECK(fixture.command(1, registration("e1", "verse", 1, 0, 2)).m_code == ResultCode::Ok);
+        CHECK(fixture.published().m_endpoints.at(EndpointId("e1")).m_incarnation == Incarnation(2));
+        fixture.command(1, RemoveEndpoints { { { EndpointId("e1"), Incarnation(2), true } } });
+        CHECK(registerAgain() == ResultCode::InvalidField);
+    }
+    SECTION("when the service of a draining endpoint is dropped and created again")
+    {
+        fixture.command(1, drain);
+        CHECK(fixture.command(1, DropService { ServiceName("verse") }, "c2").m_code == ResultCode::Ok);
+        fixture.command(1, CreateService { ServiceName("verse"), {} }, "c3");
+        CHECK(registerAgain() == ResultCode::InvalidField);
+    }
+    SECTION("but a service that is not dropped keeps its draining endpoints")
+    {
+        fixture.command(1, drain);
+        Command stale { CommandId("c2"), ConfigurationVersion(7), {}, DropService { ServiceName("verse") } };
+        fixture.message(1, CommandRequest { 5, stale });
+        CHECK(fixture.last<CommandReply>().m_result.m_code == ResultCode::VersionMismatch);
+        CHECK(fixture.published().m_endpoints.at(EndpointId("e1")).m_draining);
+    }
+    SECTION("while an endpoint that said nothing registers again")
+    {
+        fixture.command(1, RemoveEndpoints { { { EndpointId("e1"), Incarnation(1), true } } });
+        CHECK(registerAgain() == ResultCode::Ok);
+    }
+}
