Play disks that are full in turn against the replicated log

Operators of similar systems report that changes were refused or unanswered for good after the disks of the counted VMs had been full for a few seconds each, one after another.

--- a/src/libflamingo/consensus/tests/testcluster.cpp
+++ b/src/libflamingo/consensus/tests/testcluster.cpp
@@ -1,5 +1,6 @@
 #include "testcluster.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdlib>
 #include <filesystem>
@@ -48,11 +49,24 @@
         return true;
     };
     hooks.m_write = [this](int descriptor, const char* bytes, std::size_t size) -> ssize_t {
-        return callSucceeds() ? ::write(descriptor, bytes, size) : -1;
+        return callSucceeds() ? write(descriptor, bytes, size) : -1;
     };
     return hooks;
 }
 
+ssize_t TestDisk::write(int descriptor, const char* bytes, std::size_t size)
+{
+    if (!m_room)
+        return ::write(descriptor, bytes, size);
+    const std::size_t fits = std::min(size, *m_room);
+    if (fits == 0) {
+        errno = ENOSPC;
+        return -1;
+    }
+    *m_room -= fits;
+    return ::write(descriptor, bytes, fits);
+}
+
 void TestDisk::dropUnsynced(std::mt19937_64& random)
 {
     for (const auto& file : fs::directory_iterator(m_folder)) {
@@ -145,16 +159,22 @@
 }
 
 void TestCluster::start(int vm)
+{
+    m_vms[vm].m_disk->m_callsUntilFailure = -1;
+    m_vms[vm].m_suspended = false;
+    Reason reason;
+    if (!reopen(vm, reason))
+        fail(m_vms[vm].m_vm.value() + " failed to start: " + reason.m_text);
+}
+
+bool TestCluster::reopen(int vm, Reason& reason)
 {
     TestVm& self = m_vms[vm];
-    self.m_disk->m_callsUntilFailure = -1;
+    self.m_member.reset();
     self.m_applied.clear();
     self.m_appliedSinceStart = 0;
-    self.m_suspended = false;
-    Reason reason;
     self.m_member = ConsensusMember::open(settingsOf(vm), callbacksOf(vm), m_now, reason);
-    if (!self.m_member)
-        fail(self.m_vm.value() + " failed to start: " + reason.m_text);
+    return self.m_member != nullptr;
 }
 
 void TestCluster::startAll()
--- a/src/libflamingo/consensus/tests/testcluster.h
+++ b/src/libflamingo/consensus/tests/testcluster.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -28,11 +29,13 @@
     void wipe();
 
     int m_callsUntilFailure = -1; // number of writes and syncs that still succeed; -1 for no limit
+    std::optional<std::size_t> m_room; // bytes that can still be written until the disk is full; unlimited if not set
     int m_syncs = 0;
 
 private:
     /** Counts a write or sync and returns whether it succeeds. Sets errno if not. */
     bool callSucceeds();
+    ssize_t write(int descriptor, const char* bytes, std::size_t size);
 
     std::string m_folder;
     std::map<std::uint64_t, std::uint64_t> m_synced; // synced size in bytes by inode
@@ -61,6 +64,8 @@
     explicit TestCluster(int vms, std::uint64_t seed = 1);
 
     void start(int vm);
+    /** Opens the member again and keeps the disk as it is. Returns false if that fails, which is no violation. */
+    bool reopen(int vm, Reason& reason);
     void startAll();
     void crash(int vm); // power failure
     void crashAndLoseDisk(int vm);
