Number the commands of a reopened log apart from those before

After a disk error a control VM reopens its log with a new service, which used the same proposer number and counted its commands from 1 again. An entry of the service before, still in the log of a follower, could then be applied as the result of another command that an entry VM had sent to the new leader before its first entry was committed.

--- a/src/libflamingo/control/controlservice.h
+++ b/src/libflamingo/control/controlservice.h
@@ -106,6 +106,8 @@
      */
     bool checkInForce(Revision revision, MonotonicTime now);
 
+    /** Returns the number that identifies the proposals of this service in the log. */
+    std::uint64_t proposer() const { return m_proposer; }
     const ControlState& state() const { return m_state; }
     /** Returns the leases of the current term, for display; empty if this VM is not the leader. */
     const LeaseTable& leases() const { return m_leases; }
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -136,8 +136,10 @@
     ports.m_wallClock = wallClock;
     ports.m_onEndpointsExpired = logExpiredEndpoints;
     ports.m_administer = [this](const AdminRequest& request) { return administer(request); };
-    // The seed serves as proposer number, which must be unpredictable and differ between processes.
-    m_service = std::make_unique<ControlService>(std::move(ports), m_settings.m_member.m_seed, m_settings.m_service);
+    // The proposer number must be unpredictable, and differ between processes and between the services of one process:
+    // entries that an earlier service has proposed may still be applied.
+    const std::uint64_t proposer = m_settings.m_member.m_seed + m_services++;
+    m_service = std::make_unique<ControlService>(std::move(ports), proposer, m_settings.m_service);
 }
 
 MemberCallbacks ControlRole::memberCallbacks()
--- a/src/libflamingo/daemon/controlrole.h
+++ b/src/libflamingo/daemon/controlrole.h
@@ -97,6 +97,7 @@
     std::unique_ptr<LinkServer> m_server;
     std::unique_ptr<ControlApi> m_api;
     std::map<LinkId, bool> m_isEntryLink; // for each open link: true for entry VMs, false for other members
+    std::uint64_t m_services = 0; // number of services created so far, one each time the log is opened
     bool m_stopped = false;
     MonotonicTime m_reopenAt {}; // earliest time of the next attempt to reopen the log
 };
