Keep departures without an incarnation when the registration has expired

The leader now records the incarnation of a registration when it expires, under a reserved id among the departures. A departure that names no incarnation is about the registered one, else about the one that expired last.

--- a/src/libflamingo/control/controlserviceports.h
+++ b/src/libflamingo/control/controlserviceports.h
@@ -4,6 +4,7 @@
 #include "control/messages.h"
 #include "link/linkid.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -11,6 +12,12 @@
 
 namespace flamingo {
 
+/** Endpoints that stopped renewing and are removed together. */
+struct ExpiredEndpoints {
+    std::vector<EndpointId> m_endpoints;
+    std::size_t m_draining = 0; // number of those that were draining
+};
+
 /**
  * Functions through which a ControlService uses the replicated log, links and clocks. They are called on the loop
  * of the service. m_propose may call onApplied() before it returns, as a log with one member does; the others must
@@ -33,7 +40,7 @@
     std::function<void(LinkId, const std::string& bytes)> m_send;
     std::function<LogTime()> m_wallClock;
     // Called when the leader proposes to remove endpoints that stopped renewing. May be unset.
-    std::function<void(const RemoveEndpoints& removal, Milliseconds ttl)> m_onEndpointsExpired;
+    std::function<void(const ExpiredEndpoints& expired, Milliseconds ttl)> m_onEndpointsExpired;
     // Answers a request about members, leases or claims, or changes the members of the log. May be unset.
     std::function<AdminReply(const AdminRequest&)> m_administer;
 };
--- a/src/libflamingo/control/controlservicetick.cpp
+++ b/src/libflamingo/control/controlservicetick.cpp
@@ -132,6 +132,7 @@
     if (!receivesRenewals)
         m_silenceCountedFrom = now;
     RemoveEndpoints removal;
+    ExpiredEndpoints expired;
     bool batchIsDue = false;
     for (const auto& [id, endpoint] : m_state.m_published.m_endpoints) {
         const auto heard = m_endpointLastHeard.find(id);
@@ -140,16 +141,19 @@
         // A command in flight may be a drain, with which the endpoint must not be removed as merely silent.
         if (now - last < m_settings.m_endpointTtl || hasEndpointCommandInFlight(id))
             continue;
-        removal.m_targets.push_back(decideExpiry(endpoint));
+        const std::vector<RemoveEndpoints::Target> targets = decideExpiry(endpoint);
+        removal.m_targets.insert(removal.m_targets.end(), targets.begin(), targets.end());
+        expired.m_endpoints.push_back(id);
+        expired.m_draining += endpoint.m_draining ? 1 : 0;
         batchIsDue = batchIsDue || now - last >= m_settings.m_endpointTtl + m_settings.m_removalBatchDelay;
     }
     if (!batchIsDue)
         return;
-    if (!proposeInternal("remove endpoints", removal, now))
+    if (!proposeInternal("remove endpoints", std::move(removal), now))
         return;
-    m_counters.m_endpointsExpired += removal.m_targets.size();
+    m_counters.m_endpointsExpired += expired.m_endpoints.size();
     if (m_ports.m_onEndpointsExpired)
-        m_ports.m_onEndpointsExpired(removal, m_settings.m_endpointTtl);
+        m_ports.m_onEndpointsExpired(expired, m_settings.m_endpointTtl);
 }
 
 void ControlService::departVms(MonotonicTime now)
--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -12,12 +12,6 @@
     return left != state.m_leftEndpoints.end() && left->second.m_incarnation >= incarnation;
 }
 
-/** Returns whether there is no room to record that another endpoint has left. */
-bool isFullOfDepartures(const ControlState& state, const EndpointId& endpoint)
-{
-    return state.m_leftEndpoints.size() >= maxLeftEndpoints && state.m_leftEndpoints.count(endpoint) == 0;
-}
-
 /** Returns the registered endpoint, or null. */
 const EndpointRecord* findEndpoint(const ControlState& state, const EndpointId& endpoint)
 {
@@ -25,6 +19,31 @@
     return found != state.m_published.m_endpoints.end() ? &found->second : nullptr;
 }
 
+/**
+ * Returns the id under which the incarnation of an expired registration is recorded, among those that have left.
+ *
+ * Control VMs of the version before know no other record that would reach all of them and their snapshots. No endpoint
+ * has such an id, since ids contain no control characters.
+ */
+EndpointId expiryRecordOf(const EndpointId& endpoint) { return EndpointId('\x1f' + endpoint.value()); }
+
+/** Returns the incarnation that a departure is about. */
+Incarnation leavingIncarnation(const ControlState& state, const EndpointDeparture& departure)
+{
+    if (departure.m_incarnation)
+        return *departure.m_incarnation;
+    if (const EndpointRecord* registered = findEndpoint(state, departure.m_endpoint))
+        return registered->m_incarnation;
+    const auto expired = state.m_leftEndpoints.find(expiryRecordOf(departure.m_endpoint));
+    return expired != state.m_leftEndpoints.end() ? expired->second.m_incarnation : Incarnation();
+}
+
+/** Returns whether there is no room to record that another endpoint has left. */
+bool isFullOfDepartures(const ControlState& state, const EndpointId& endpoint)
+{
+    return state.m_leftEndpoints.size() >= maxLeftEndpoints && state.m_leftEndpoints.count(endpoint) == 0;
+}
+
 /** Returns another endpoint that is registered with the same address, or null. */
 const EndpointRecord* otherAtAddress(const PublishedState& published, const EndpointRecord& endpoint)
 {
@@ -117,8 +136,7 @@
 {
     HeartbeatDecision decision;
     const EndpointRecord* registered = findEndpoint(state, departure.m_endpoint);
-    const Incarnation leaving
-        = departure.m_incarnation.value_or(registered ? registered->m_incarnation : Incarnation());
+    const Incarnation leaving = leavingIncarnation(state, departure);
     if (hasLeft(state, departure.m_endpoint, leaving)) {
         decision.m_explanation = "this incarnation has left already";
         return decision;
@@ -142,9 +160,12 @@
     return decision;
 }
 
-RemoveEndpoints::Target decideExpiry(const EndpointRecord& endpoint)
+std::vector<RemoveEndpoints::Target> decideExpiry(const EndpointRecord& endpoint)
 {
-    return { endpoint.m_id, endpoint.m_incarnation, !endpoint.m_draining };
+    if (endpoint.m_draining)
+        return { { endpoint.m_id, endpoint.m_incarnation, false } };
+    return { { endpoint.m_id, endpoint.m_incarnation, true },
+        { expiryRecordOf(endpoint.m_id), endpoint.m_incarnation, false } };
 }
 
 } // namespace flamingo
--- a/src/libflamingo/control/heartbeatdecision.h
+++ b/src/libflamingo/control/heartbeatdecision.h
@@ -41,16 +41,17 @@
  *
  * The departure is recorded for the incarnation that it names, also if that one is not registered, for example because
  * its registration has expired: a late heartbeat then does not register it. An earlier incarnation that is registered
- * is removed, a later one is not. A departure without an incarnation is of the registered one, or of an endpoint that
- * states none in its heartbeats either.
+ * is removed, a later one is not. A departure without an incarnation is of the registered one, or else of the one whose
+ * registration expired last, or else of an endpoint that states none in its heartbeats either.
  */
 HeartbeatDecision decideDeparture(const ControlState& state, const EndpointDeparture& departure);
 
 /**
  * Decides how an endpoint that stopped renewing is removed. Thread-safe.
  *
- * One that was draining has left: it must not get new calls if its heartbeats return. Any other may register again.
+ * One that was draining has left: it must not get new calls if its heartbeats return. Any other may register again; its
+ * incarnation is remembered for a departure that does not name it.
  */
-RemoveEndpoints::Target decideExpiry(const EndpointRecord& endpoint);
+std::vector<RemoveEndpoints::Target> decideExpiry(const EndpointRecord& endpoint);
 
 } // namespace flamingo
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <filesystem>
 
 namespace flamingo {
@@ -20,18 +21,13 @@
 // Limits the length of the log line when many endpoints expire at the same time.
 constexpr std::size_t maxLoggedEndpoints = 8;
 
-void logExpiredEndpoints(const RemoveEndpoints& removal, Milliseconds ttl)
+void logExpiredEndpoints(const ExpiredEndpoints& expired, Milliseconds ttl)
 {
     std::string endpoints;
-    std::size_t draining = 0;
-    for (std::size_t number = 0; number < removal.m_targets.size(); ++number) {
-        const RemoveEndpoints::Target& target = removal.m_targets[number];
-        draining += target.m_expired ? 0 : 1;
-        if (number < maxLoggedEndpoints)
-            endpoints += (number > 0 ? "," : "") + target.m_endpoint.value();
-    }
-    FLAMINGO_LOG(Info, "endpoint registrations expired", { "count", removal.m_targets.size() },
-        { "draining", draining }, { "endpoints", endpoints }, { "ttl_ms", ttl });
+    for (std::size_t number = 0; number < std::min(maxLoggedEndpoints, expired.m_endpoints.size()); ++number)
+        endpoints += (number > 0 ? "," : "") + expired.m_endpoints[number].value();
+    FLAMINGO_LOG(Info, "endpoint registrations expired", { "count", expired.m_endpoints.size() },
+        { "draining", expired.m_draining }, { "endpoints", endpoints }, { "ttl_ms", ttl });
 }
 
 } // namespace
