--- a/src/libflamingo/control/controlstate.h
+++ b/src/libflamingo/control/controlstate.h
@@ -13,7 +13,11 @@
 
 namespace flamingo {
 
-/** An endpoint that left by itself; its incarnation cannot register again. */
+/**
+ * An endpoint that left by itself; its incarnation cannot register again.
+ *
+ * Under a reserved id, see decideExpiry(), it is an incarnation whose registration expired, which can.
+ */
 struct LeftEndpoint {
     Incarnation m_incarnation;
     LogTime m_at; // time at which it left
--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -1,6 +1,6 @@
 #include "control/heartbeatdecision.h"
 
-#include "control/apply.h"
+#include "control/applycontext.h"
 
 namespace flamingo {
 
@@ -135,6 +135,11 @@
 HeartbeatDecision decideDeparture(const ControlState& state, const EndpointDeparture& departure)
 {
     HeartbeatDecision decision;
+    if (!detail::isValidName(departure.m_endpoint.value())) {
+        decision.m_refusal = ResultCode::InvalidField;
+        decision.m_explanation = "an endpoint id must have 1 to 128 characters";
+        return decision;
+    }
     const EndpointRecord* registered = findEndpoint(state, departure.m_endpoint);
     const Incarnation leaving = leavingIncarnation(state, departure);
     if (hasLeft(state, departure.m_endpoint, leaving)) {
--- a/src/libflamingo/control/heartbeatdecision.h
+++ b/src/libflamingo/control/heartbeatdecision.h
@@ -50,7 +50,7 @@
  * Decides how an endpoint that stopped renewing is removed. Thread-safe.
  *
  * One that was draining has left: it must not get new calls if its heartbeats return. Any other may register again; its
- * incarnation is remembered for a departure that does not name it.
+ * incarnation is recorded under a reserved id, for a departure that does not name it.
  */
 std::vector<RemoveEndpoints::Target> decideExpiry(const EndpointRecord& endpoint);
 
--- a/src/libflamingo/control/tests/heartbeattest.cpp
+++ b/src/libflamingo/control/tests/heartbeattest.cpp
@@ -133,3 +133,15 @@
         CHECK(directory.receive(heartbeat("left0", 2, "10.0.0.2")) == 0);
     }
 }
+
+// Guards against records of departures that take unlimited memory, and against forged records under reserved ids.
+TEST_CASE("a departure with an id that no endpoint can have is refused", "[control]")
+{
+    const ControlState state;
+    const std::string id = GENERATE(std::string(), std::string(129, 'x'),
+        std::string("\x1f"
+                    "a"));
+    const HeartbeatDecision decision = decideDeparture(state, { EndpointId(id), Incarnation(1) });
+    CHECK(decision.m_refusal == ResultCode::InvalidField);
+    CHECK(decision.m_commands.empty());
+}
