Count recorded departures, and look up endpoints in one place

flamingo_control_departures_recorded shows how many incarnations are on record. The two functions that keep drains through entry VMs return only what differs from the command, so that large commands are not copied.

--- a/src/libflamingo/control/controlservice.cpp
+++ b/src/libflamingo/control/controlservice.cpp
@@ -306,11 +306,11 @@
         return true;
     }
     Command command = request.m_command;
-    std::vector<CommandBody> bodies = keepingDepartures(m_state, command);
-    command.m_body = std::move(bodies.back());
     const std::uint64_t number = ++m_lastNumber;
-    if (bodies.size() > 1)
-        proposeInternal("departures before command " + std::to_string(number), std::move(bodies.front()), now);
+    if (auto departure = departureInPlaceOf(m_state, command))
+        command.m_body = std::move(*departure);
+    else if (auto departures = departuresBefore(m_state, command))
+        proposeInternal("departures before command " + std::to_string(number), std::move(*departures), now);
     m_pending[number] = PendingCommand { link, request.m_sequence, nullptr };
     if (!proposeCommand(std::move(command), number)) {
         ++m_counters.m_commandsRefused;
--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -1,6 +1,7 @@
 #include "control/heartbeatdecision.h"
 
 #include "control/applycontext.h"
+#include "control/endpointcommands.h"
 
 namespace flamingo {
 
@@ -12,13 +13,6 @@
     return left != state.m_leftEndpoints.end() && left->second.m_incarnation >= incarnation;
 }
 
-/** Returns the registered endpoint, or null. */
-const EndpointRecord* findEndpoint(const ControlState& state, const EndpointId& endpoint)
-{
-    const auto found = state.m_published.m_endpoints.find(endpoint);
-    return found != state.m_published.m_endpoints.end() ? &found->second : nullptr;
-}
-
 /**
  * Returns the id under which the incarnation of an expired registration is recorded, among those that have left.
  *
--- a/src/libflamingo/control/tests/heartbeattest.cpp
+++ b/src/libflamingo/control/tests/heartbeattest.cpp
@@ -1,5 +1,6 @@
 #include "control/apply.h"
 #include "control/heartbeatdecision.h"
+#include "control/tests/endpointreports.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,18 +8,6 @@
 
 namespace {
 
-EndpointHeartbeat heartbeat(const std::string& id, std::uint64_t incarnation, const std::string& address = "10.0.0.1")
-{
-    EndpointHeartbeat result;
-    result.m_endpoint.m_id = EndpointId(id);
-    result.m_endpoint.m_service = ServiceName("orders");
-    result.m_endpoint.m_address = address;
-    result.m_endpoint.m_port = 80;
-    result.m_endpoint.m_incarnation = Incarnation(incarnation);
-    result.m_endpoint.m_routed = true;
-    return result;
-}
-
 struct EndpointDirectory {
     ControlState m_state;
 
@@ -53,39 +42,39 @@
 TEST_CASE("endpoints of routed services register by heartbeats", "[control]")
 {
     EndpointDirectory directory;
-    REQUIRE(directory.receive(heartbeat("a", 1)) == 1);
+    REQUIRE(directory.receive(readyHeartbeat("a", 1)) == 1);
     REQUIRE(directory.has("a"));
 
     SECTION("a further heartbeat renews the endpoint without a command")
     {
-        CHECK(decideHeartbeat(directory.m_state, heartbeat("a", 1)).m_renews);
-        CHECK(directory.receive(heartbeat("a", 1)) == 0);
+        CHECK(decideHeartbeat(directory.m_state, readyHeartbeat("a", 1)).m_renews);
+        CHECK(directory.receive(readyHeartbeat("a", 1)) == 0);
     }
     SECTION("a late heartbeat does not end a drain")
     {
-        EndpointHeartbeat draining = heartbeat("a", 1);
+        EndpointHeartbeat draining = readyHeartbeat("a", 1);
         draining.m_endpoint.m_draining = true;
         CHECK(directory.receive(draining) == 1);
-        CHECK(directory.receive(heartbeat("a", 1)) == 0);
+        CHECK(directory.receive(readyHeartbeat("a", 1)) == 0);
         CHECK(directory.at("a").m_draining);
     }
     SECTION("a late heartbeat does not bring back an endpoint that has left")
     {
         directory.leave("a");
         CHECK_FALSE(directory.has("a"));
-        CHECK(directory.receive(heartbeat("a", 1)) == 0);
+        CHECK(directory.receive(readyHeartbeat("a", 1)) == 0);
         CHECK_FALSE(directory.has("a"));
 
         SECTION("but a later incarnation registers")
         {
-            CHECK(directory.receive(heartbeat("a", 2)) == 1);
+            CHECK(directory.receive(readyHeartbeat("a", 2)) == 1);
             CHECK(directory.has("a"));
         }
     }
     SECTION("a heartbeat of an earlier incarnation does not replace the later one")
     {
-        CHECK(directory.receive(heartbeat("a", 2, "10.0.0.2")) == 2); // records that the earlier one has left
-        CHECK(directory.receive(heartbeat("a", 1)) == 0);
+        CHECK(directory.receive(readyHeartbeat("a", 2, "10.0.0.2")) == 2); // records that the earlier one has left
+        CHECK(directory.receive(readyHeartbeat("a", 1)) == 0);
         CHECK(directory.at("a").m_address == "10.0.0.2");
 
         SECTION("nor does its departure remove the later one")
@@ -96,13 +85,13 @@
     }
     SECTION("a new endpoint with the address of an earlier one replaces it")
     {
-        CHECK(directory.receive(heartbeat("b", 2)) == 2);
+        CHECK(directory.receive(readyHeartbeat("b", 2)) == 2);
         CHECK_FALSE(directory.has("a"));
         CHECK(directory.has("b"));
 
         SECTION("and a delayed heartbeat of the replaced endpoint has no effect")
         {
-            CHECK(directory.receive(heartbeat("a", 1)) == 0);
+            CHECK(directory.receive(readyHeartbeat("a", 1)) == 0);
             CHECK(directory.has("b"));
         }
     }
@@ -112,7 +101,7 @@
 TEST_CASE("departures beyond the limit on records are refused", "[control]")
 {
     EndpointDirectory directory;
-    directory.receive(heartbeat("a", 1));
+    directory.receive(readyHeartbeat("a", 1));
     for (std::size_t number = 0; number < maxLeftEndpoints; ++number)
         directory.m_state.m_leftEndpoints[EndpointId("left" + std::to_string(number))].m_incarnation = Incarnation(1);
 
@@ -130,7 +119,7 @@
     SECTION("nor one that replaces the record of an earlier incarnation")
     {
         CHECK(directory.leave("left0", 2) == 1);
-        CHECK(directory.receive(heartbeat("left0", 2, "10.0.0.2")) == 0);
+        CHECK(directory.receive(readyHeartbeat("left0", 2, "10.0.0.2")) == 0);
     }
 }
 
--- a/src/libflamingo/daemon/daemonmetrics.cpp
+++ b/src/libflamingo/daemon/daemonmetrics.cpp
@@ -136,6 +136,9 @@
     setGauge("flamingo_control_commands_refused", "Commands refused by the leader.", double(counts.m_commandsRefused));
     setGauge("flamingo_control_endpoints_expired", "Endpoints removed because their renewals stopped.",
         double(counts.m_endpointsExpired));
+    setGauge("flamingo_control_departures_recorded",
+        "Incarnations of endpoints on record that left, or whose registration expired.",
+        double(service.state().m_leftEndpoints.size()));
     setGauge("flamingo_control_vms_departed", "VMs whose lease ended.", double(counts.m_vmsDeparted));
 }
 
