--- a/src/libflamingo/control/tests/endpointreports.h
+++ b/src/libflamingo/control/tests/endpointreports.h
@@ -48,8 +48,8 @@
 }
 
 /** Outcome of a message as the endpoint that sent it sees it. */
-enum class Receipt {
-    None, // no answer yet, or none at all
+enum class Outcome {
+    Unknown, // no answer yet, or none at all
     Acknowledged,
     Refused,
 };
@@ -69,23 +69,23 @@
     }
 
     /** Hands a message to the leader; its commands wait for commit(). */
-    std::shared_ptr<Receipt> send(const EndpointMessage& message)
+    std::shared_ptr<Outcome> send(const EndpointMessage& message)
     {
-        const auto receipt = std::make_shared<Receipt>(Receipt::None);
+        const auto outcome = std::make_shared<Outcome>(Outcome::Unknown);
         m_handler->handle(
             message,
-            [receipt](ResultCode code, const std::string&) {
-                *receipt = code == ResultCode::Ok ? Receipt::Acknowledged : Receipt::Refused;
+            [outcome](ResultCode code, const std::string&) {
+                *outcome = code == ResultCode::Ok ? Outcome::Acknowledged : Outcome::Refused;
             },
             m_now);
-        return receipt;
+        return outcome;
     }
     /** Hands a message to the leader, commits all proposals and returns the outcome. */
-    Receipt report(const EndpointMessage& message)
+    Outcome report(const EndpointMessage& message)
     {
-        const auto receipt = send(message);
+        const auto outcome = send(message);
         commit();
-        return *receipt;
+        return *outcome;
     }
 
     /** Commits the oldest proposal. Returns false if there is none. */
--- a/src/libflamingo/control/tests/endpointreporttest.cpp
+++ b/src/libflamingo/control/tests/endpointreporttest.cpp
@@ -18,18 +18,18 @@
 
     SECTION("an endpoint that said nothing is called again once its heartbeats arrive")
     {
-        CHECK(reports.report(readyHeartbeat("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.report(readyHeartbeat("a", 5)) == Outcome::Acknowledged);
         CHECK(reports.calledIncarnation("a") == 5);
     }
     SECTION("one that left is not called after a late heartbeat")
     {
-        REQUIRE(reports.report(departure("a", 5)) == Receipt::Acknowledged);
-        CHECK(reports.report(readyHeartbeat("a", 5)) == Receipt::Acknowledged);
+        REQUIRE(reports.report(departure("a", 5)) == Outcome::Acknowledged);
+        CHECK(reports.report(readyHeartbeat("a", 5)) == Outcome::Acknowledged);
         CHECK_FALSE(reports.isCalled("a"));
 
         SECTION("nor after its departure arrives twice")
         {
-            CHECK(reports.report(departure("a", 5)) == Receipt::Acknowledged);
+            CHECK(reports.report(departure("a", 5)) == Outcome::Acknowledged);
             reports.report(readyHeartbeat("a", 5));
             CHECK_FALSE(reports.isCalled("a"));
         }
@@ -47,12 +47,12 @@
         }
         SECTION("but a later incarnation is called at once")
         {
-            CHECK(reports.report(readyHeartbeat("a", 6)) == Receipt::Acknowledged);
+            CHECK(reports.report(readyHeartbeat("a", 6)) == Outcome::Acknowledged);
             CHECK(reports.calledIncarnation("a") == 6);
         }
         SECTION("and so is another endpoint at its address")
         {
-            CHECK(reports.report(readyHeartbeat("b", 6)) == Receipt::Acknowledged);
+            CHECK(reports.report(readyHeartbeat("b", 6)) == Outcome::Acknowledged);
             CHECK(reports.isCalled("b"));
         }
     }
@@ -60,7 +60,7 @@
     {
         reports.report(readyHeartbeat("n", 0, "10.0.0.9"));
         reports.expireAll();
-        REQUIRE(reports.report(departure("n")) == Receipt::Acknowledged);
+        REQUIRE(reports.report(departure("n")) == Outcome::Acknowledged);
         reports.report(readyHeartbeat("n", 0, "10.0.0.9"));
         CHECK_FALSE(reports.isCalled("n"));
     }
@@ -73,30 +73,30 @@
             REQUIRE(reports.isCalled("a"));
             reports.expireAll();
         }
-        REQUIRE(reports.report(departure("a")) == Receipt::Acknowledged);
+        REQUIRE(reports.report(departure("a")) == Outcome::Acknowledged);
         reports.report(readyHeartbeat("a", 5));
         CHECK_FALSE(reports.isCalled("a"));
 
         SECTION("but a later incarnation is called at once")
         {
-            CHECK(reports.report(readyHeartbeat("a", 6)) == Receipt::Acknowledged);
+            CHECK(reports.report(readyHeartbeat("a", 6)) == Outcome::Acknowledged);
             CHECK(reports.calledIncarnation("a") == 6);
         }
     }
     SECTION("nor is it if its departure reaches another leader, which was restarted from a snapshot")
     {
         reports.restart();
-        REQUIRE(reports.report(departure("a")) == Receipt::Acknowledged);
+        REQUIRE(reports.report(departure("a")) == Outcome::Acknowledged);
         reports.restart();
         reports.report(readyHeartbeat("a", 5));
         CHECK_FALSE(reports.isCalled("a"));
     }
     SECTION("a departure that is not committed is not acknowledged")
     {
-        const auto receipt = reports.send(departure("a", 5));
-        CHECK(*receipt == Receipt::None);
+        const auto outcome = reports.send(departure("a", 5));
+        CHECK(*outcome == Outcome::Unknown);
         reports.replaceLeader(0);
-        CHECK(*receipt == Receipt::Refused);
+        CHECK(*outcome == Outcome::Refused);
     }
 }
 
@@ -108,7 +108,7 @@
 
     SECTION("a later incarnation than the registered one leaves before its first heartbeat arrives")
     {
-        CHECK(reports.report(departure("a", 6)) == Receipt::Acknowledged);
+        CHECK(reports.report(departure("a", 6)) == Outcome::Acknowledged);
         CHECK_FALSE(reports.isCalled("a"));
         reports.report(readyHeartbeat("a", 6));
         CHECK_FALSE(reports.isCalled("a"));
@@ -128,7 +128,7 @@
     {
         reports.expireAll();
         reports.report(readyHeartbeat("a", 6));
-        CHECK(reports.report(departure("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.report(departure("a", 5)) == Outcome::Acknowledged);
         CHECK(reports.calledIncarnation("a") == 6);
         reports.expireAll();
         reports.report(readyHeartbeat("a", 5));
@@ -143,7 +143,7 @@
     SECTION("a late departure of an earlier incarnation does not replace the record of a later one")
     {
         reports.report(departure("a", 6));
-        CHECK(reports.report(departure("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.report(departure("a", 5)) == Outcome::Acknowledged);
         reports.report(readyHeartbeat("a", 6));
         CHECK_FALSE(reports.isCalled("a"));
     }
@@ -182,7 +182,7 @@
     for (Milliseconds passed { 0 }; passed < 3 * Milliseconds(leftEndpointRetention); passed += interval) {
         reports.run(interval);
         reports.commit();
-        CHECK(reports.report(readyHeartbeat("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.report(readyHeartbeat("a", 5)) == Outcome::Acknowledged);
         REQUIRE_FALSE(reports.isCalled("a"));
     }
 
@@ -213,10 +213,10 @@
 
     SECTION("because it expires after the drain")
     {
-        REQUIRE(reports.report(drainingHeartbeat("a", 5)) == Receipt::Acknowledged);
+        REQUIRE(reports.report(drainingHeartbeat("a", 5)) == Outcome::Acknowledged);
         REQUIRE_FALSE(reports.isCalled("a"));
         reports.expireAll();
-        CHECK(reports.report(readyHeartbeat("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.report(readyHeartbeat("a", 5)) == Outcome::Acknowledged);
         CHECK_FALSE(reports.isCalled("a"));
 
         SECTION("also under another leader that was restarted from a snapshot")
@@ -234,7 +234,7 @@
     SECTION("because it had expired before the drain")
     {
         reports.expireAll();
-        REQUIRE(reports.report(drainingHeartbeat("a", 5)) == Receipt::Acknowledged);
+        REQUIRE(reports.report(drainingHeartbeat("a", 5)) == Outcome::Acknowledged);
         reports.report(readyHeartbeat("a", 5));
         CHECK_FALSE(reports.isCalled("a"));
         reports.expireAll();
@@ -245,7 +245,7 @@
     {
         reports.expireAll();
         reports.report(readyHeartbeat("a", 6));
-        CHECK(reports.report(drainingHeartbeat("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.report(drainingHeartbeat("a", 5)) == Outcome::Acknowledged);
         CHECK(reports.calledIncarnation("a") == 6);
         reports.expireAll();
         reports.report(readyHeartbeat("a", 5));
@@ -255,7 +255,7 @@
     {
         reports.expireAll();
         reports.report(readyHeartbeat("b", 6));
-        CHECK(reports.report(drainingHeartbeat("a", 5)) == Receipt::Acknowledged);
+        CHECK(reports.report(drainingHeartbeat("a", 5)) == Outcome::Acknowledged);
         CHECK(reports.isCalled("b"));
         reports.report(departure("b", 6));
         reports.report(readyHeartbeat("a", 5));
@@ -273,8 +273,8 @@
         const auto later = reports.send(departure("a", 6));
         const auto earlier = reports.send(departure("a", 5));
         reports.commit();
-        CHECK(*later == Receipt::Acknowledged);
-        CHECK(*earlier == Receipt::Acknowledged);
+        CHECK(*later == Outcome::Acknowledged);
+        CHECK(*earlier == Outcome::Acknowledged);
         reports.report(readyHeartbeat("a", 6));
         CHECK_FALSE(reports.isCalled("a"));
     }
@@ -283,10 +283,10 @@
         reports.send(readyHeartbeat("a", 5));
         const auto drain = reports.send(drainingHeartbeat("a", 5));
         const auto next = reports.send(readyHeartbeat("a", 6));
-        CHECK(*drain == Receipt::None);
+        CHECK(*drain == Outcome::Unknown);
         reports.commit();
-        CHECK(*drain == Receipt::Acknowledged);
-        CHECK(*next == Receipt::Acknowledged);
+        CHECK(*drain == Outcome::Acknowledged);
+        CHECK(*next == Outcome::Acknowledged);
         CHECK(reports.calledIncarnation("a") == 6);
         reports.expireAll();
         reports.report(readyHeartbeat("a", 5));
@@ -298,7 +298,7 @@
         reports.send(readyHeartbeat("b", 6));
         const auto drain = reports.send(drainingHeartbeat("a", 5));
         reports.commit();
-        CHECK(*drain == Receipt::Acknowledged);
+        CHECK(*drain == Outcome::Acknowledged);
         CHECK(reports.isCalled("b"));
         CHECK_FALSE(reports.isCalled("a"));
     }
@@ -306,43 +306,44 @@
     {
         reports.report(readyHeartbeat("b", 5, "10.0.0.2"));
         reports.send(readyHeartbeat("a", 5));
-        CHECK(*reports.send(readyHeartbeat("b", 5, "10.0.0.2")) == Receipt::Acknowledged);
+        CHECK(*reports.send(readyHeartbeat("b", 5, "10.0.0.2")) == Outcome::Acknowledged);
     }
     SECTION("and those that wait are refused when the leader is replaced")
     {
         const auto first = reports.send(readyHeartbeat("a", 5));
         const auto second = reports.send(departure("a", 5));
         reports.replaceLeader(0);
-        CHECK(*first == Receipt::Refused);
-        CHECK(*second == Receipt::Refused);
+        CHECK(*first == Outcome::Refused);
+        CHECK(*second == Outcome::Refused);
     }
 }
 
 namespace {
 
-/** A start of an endpoint, with what it said and what was acknowledged to it. */
-struct Lifetime {
+/** One incarnation of an endpoint, with the outcomes of its messages that announced its shutdown. */
+struct EndpointProcess {
     std::string m_id;
     std::uint64_t m_incarnation = 0;
     std::string m_address;
     bool m_namesIncarnation = true; // in its departures
     bool m_wasCalled = false;
-    std::vector<std::shared_ptr<Receipt>> m_farewells; // of its departures and draining heartbeats
+    std::vector<std::shared_ptr<Outcome>> m_shutdownOutcomes; // of its departures and draining heartbeats
 };
 
-/** Plays messages of several lifetimes in random order, with commits, expiries, new leaders and restarts in between. */
+/** Plays messages of several endpoint processes in random order, with commits, expiries, new leaders and restarts in
+ * between. */
 class RandomReports {
 public:
     explicit RandomReports(std::uint64_t seed)
         : m_random(seed)
     {
-        constexpr std::uint64_t lifetimesPerId = 3;
-        for (std::uint64_t start = 0; start < lifetimesPerId; ++start) {
-            addLifetime("a", 10 * start + 1);
-            addLifetime("b", 10 * start + 2);
+        constexpr std::uint64_t startsPerId = 3;
+        for (std::uint64_t start = 0; start < startsPerId; ++start) {
+            addProcess("a", 10 * start + 1);
+            addProcess("b", 10 * start + 2);
         }
-        addLifetime("c", 3);
-        m_lifetimes.back().m_namesIncarnation = false;
+        addProcess("c", 3);
+        m_processes.back().m_namesIncarnation = false;
     }
 
     void play()
@@ -356,7 +357,7 @@
             break;
         case 4:
         case 5:
-            sendFarewell(any());
+            sendShutdown(any());
             break;
         case 6:
             m_reports.proposeExpiry();
@@ -370,66 +371,66 @@
         default:
             m_reports.commitOne();
         }
-        for (Lifetime& lifetime : m_lifetimes)
-            lifetime.m_wasCalled |= m_reports.calledIncarnation(lifetime.m_id) == lifetime.m_incarnation;
+        for (EndpointProcess& process : m_processes)
+            process.m_wasCalled |= m_reports.calledIncarnation(process.m_id) == process.m_incarnation;
     }
 
-    /** Returns a lifetime that is called although its departure or drain was acknowledged, or null. */
-    const Lifetime* calledAfterFarewell() const
+    /** Returns a process that is called although its departure or drain was acknowledged, or null. */
+    const EndpointProcess* calledAfterShutdown() const
     {
-        for (const Lifetime& lifetime : m_lifetimes) {
-            const bool acknowledged = std::any_of(lifetime.m_farewells.begin(), lifetime.m_farewells.end(),
-                [](const auto& receipt) { return *receipt == Receipt::Acknowledged; });
-            if (acknowledged && m_reports.calledIncarnation(lifetime.m_id) == lifetime.m_incarnation)
-                return &lifetime;
+        for (const EndpointProcess& process : m_processes) {
+            const bool acknowledged = std::any_of(process.m_shutdownOutcomes.begin(), process.m_shutdownOutcomes.end(),
+                [](const auto& outcome) { return *outcome == Outcome::Acknowledged; });
+            if (acknowledged && m_reports.calledIncarnation(process.m_id) == process.m_incarnation)
+                return &process;
         }
         return nullptr;
     }
 
-    /** Starts a new lifetime under a known id at a known address and returns whether it is called at once. */
-    bool newLifetimeIsCalled()
+    /** Starts a new process under a known id at a known address and returns whether it is called at once. */
+    bool newProcessIsCalled()
     {
         m_reports.commit();
         const std::string id = any().m_id;
         const std::string address = any().m_address;
         constexpr std::uint64_t laterThanAll = 1000;
-        return m_reports.report(readyHeartbeat(id, laterThanAll, address)) == Receipt::Acknowledged
+        return m_reports.report(readyHeartbeat(id, laterThanAll, address)) == Outcome::Acknowledged
             && m_reports.calledIncarnation(id) == laterThanAll;
     }
 
 private:
     std::uint64_t pick(std::uint64_t bound) { return m_random() % bound; }
-    Lifetime& any()
+    EndpointProcess& any()
     {
         if (pick(3) == 0)
-            m_chosen = pick(m_lifetimes.size());
-        return m_lifetimes[m_chosen];
+            m_chosen = pick(m_processes.size());
+        return m_processes[m_chosen];
     }
-    void addLifetime(const std::string& id, std::uint64_t incarnation)
+    void addProcess(const std::string& id, std::uint64_t incarnation)
     {
         constexpr std::uint64_t addresses = 3;
-        m_lifetimes.push_back({ id, incarnation, "10.0.0." + std::to_string(pick(addresses)), true, false, {} });
+        m_processes.push_back({ id, incarnation, "10.0.0." + std::to_string(pick(addresses)), true, false, {} });
     }
-    void sendReady(const Lifetime& lifetime)
+    void sendReady(const EndpointProcess& process)
     {
-        m_reports.send(readyHeartbeat(lifetime.m_id, lifetime.m_incarnation, lifetime.m_address));
+        m_reports.send(readyHeartbeat(process.m_id, process.m_incarnation, process.m_address));
     }
-    void sendFarewell(Lifetime& lifetime)
+    void sendShutdown(EndpointProcess& process)
     {
         // The incarnation of a departure that does not name it must be known from a registration.
-        const bool isKnown = lifetime.m_namesIncarnation || lifetime.m_wasCalled;
+        const bool isKnown = process.m_namesIncarnation || process.m_wasCalled;
         const bool leaves = isKnown && pick(2) == 0;
         const EndpointDeparture leaving
-            = lifetime.m_namesIncarnation ? departure(lifetime.m_id, lifetime.m_incarnation) : departure(lifetime.m_id);
+            = process.m_namesIncarnation ? departure(process.m_id, process.m_incarnation) : departure(process.m_id);
         const EndpointMessage message = leaves
             ? EndpointMessage(leaving)
-            : EndpointMessage(drainingHeartbeat(lifetime.m_id, lifetime.m_incarnation, lifetime.m_address));
-        lifetime.m_farewells.push_back(m_reports.send(message));
+            : EndpointMessage(drainingHeartbeat(process.m_id, process.m_incarnation, process.m_address));
+        process.m_shutdownOutcomes.push_back(m_reports.send(message));
     }
 
     std::mt19937_64 m_random;
     EndpointReports m_reports;
-    std::vector<Lifetime> m_lifetimes;
+    std::vector<EndpointProcess> m_processes;
     std::size_t m_chosen = 0;
 };
 
@@ -438,15 +439,16 @@
 // Guards against orders of messages, also concurrent ones, after which a departed or draining endpoint is called.
 TEST_CASE("what an endpoint said holds whatever arrives later, in whatever order", "[control]")
 {
-    rc::prop("for random messages of several lifetimes at shared addresses", [](std::uint64_t seed) {
+    rc::prop("for random messages of several processes at shared addresses", [](std::uint64_t seed) {
         RandomReports reports(seed);
         constexpr int steps = 60;
         for (int step = 0; step < steps; ++step) {
             reports.play();
-            const Lifetime* called = reports.calledAfterFarewell();
+            const EndpointProcess* called = reports.calledAfterShutdown();
             if (called)
-                RC_FAIL(called->m_id + " " + std::to_string(called->m_incarnation) + " is called after its farewell");
+                RC_FAIL(called->m_id + " " + std::to_string(called->m_incarnation)
+                    + " is called after its shutdown was acknowledged");
         }
-        RC_ASSERT(reports.newLifetimeIsCalled());
+        RC_ASSERT(reports.newProcessIsCalled());
     });
 }
