--- a/review/7/smuggled.cpp
+++ b/review/8/smuggled.cpp
@@ -41,7 +41,7 @@
     std::vector<std::unique_ptr<Backend>> backends;
     for (int number = 0; number < 3; ++number)
         backends.push_back(std::make_unique<Backend>(record, deployment, number, "muster"));
-    if (!deployment.start(configuration(1, "muster", "idempotent")))
+    if (!deployment.start(configuration(1, { { "a", "muster" } })))
         return 2;
     // All backends have told of themselves by now.
     std::this_thread::sleep_for(std::chrono::seconds(3));
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -371,6 +371,12 @@
     return m_runs;
 }
 
+int Backend::heartbeatAgeMs() const
+{
+    return static_cast<int>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_heartbeatAt.load()).count());
+}
+
 void Backend::accept()
 {
     while (!m_stopped) {
@@ -422,26 +428,39 @@
               .count();
     for (int sequence = 1; !m_stopped; ++sequence) {
         std::string answer;
-        m_deployment.call("POST", "/api/Instances.Heartbeat/" + m_id,
+        const int status = m_deployment.call("POST", "/api/Instances.Heartbeat/" + m_id,
             "{\"service\":\"" + m_service + "\",\"address\":\"" + m_ip + ":"
                 + std::to_string(m_deployment.backendPort())
                 + "\",\"zone\":\"dbg-north\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"coldRemainingMs\":0,"
                   "\"seq\":"
                 + std::to_string(sequence) + ",\"born\":" + std::to_string(born) + "}",
             answer);
+        if (status == 200) {
+            ++m_heartbeats;
+            m_heartbeatAt = Clock::now();
+        }
         for (int step = 0; step < 12 && !m_stopped; ++step)
             sleepMs(100);
     }
 }
 
-std::string configuration(int version, const std::string& service, const std::string& routeType)
+std::string configuration(
+    int version, const std::vector<std::pair<std::string, std::string>>& routes, const std::string& routeType)
 {
-    return "{\"version\":" + std::to_string(version) + ",\"routes\":[{\"name\":\"r-a\",\"hostname\":\"" + host
-        + "\",\"pathPrefix\":\"/a/\",\"routeType\":\"" + routeType
-        + "\",\"timeoutMs\":2500,\"targetLatencyMs\":600,\"priority\":2,\"service\":\"" + service
-        + "\",\"maxAttempts\":2}],\"services\":[{\"name\":\"" + service
-        + "\",\"healthPath\":\"/health\",\"maxConnections\":91,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
-          "\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+    std::string routeList;
+    std::string serviceList;
+    for (const auto& [prefix, service] : routes) {
+        const char* comma = routeList.empty() ? "" : ",";
+        routeList += comma + ("{\"name\":\"r-" + prefix) + "\",\"hostname\":\"" + host + "\",\"pathPrefix\":\"/" + prefix
+            + "/\",\"routeType\":\"" + routeType
+            + "\",\"timeoutMs\":2500,\"targetLatencyMs\":600,\"priority\":2,\"service\":\"" + service
+            + "\",\"maxAttempts\":2}";
+        serviceList += comma + ("{\"name\":\"" + service)
+            + "\",\"healthPath\":\"/health\",\"maxConnections\":91,\"protocol\":\"h1\",\"tls\":false}";
+    }
+    return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routeList + "],\"services\":[" + serviceList
+        + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000"
+          "}}";
 }
 
 std::string printable(const std::string& bytes)
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -121,6 +122,10 @@
     Backend(Record& record, Deployment& deployment, int number, const std::string& service);
     ~Backend();
     std::vector<Run> runs();
+    /** Returns how many heartbeats were acknowledged. */
+    int heartbeats() const { return m_heartbeats; }
+    /** Returns the time since the last acknowledged heartbeat. */
+    int heartbeatAgeMs() const;
 
 private:
     void accept();
@@ -134,6 +139,8 @@
     std::string m_ip;
     int m_listener = -1;
     std::atomic<bool> m_stopped { false };
+    std::atomic<int> m_heartbeats { 0 };
+    std::atomic<std::chrono::steady_clock::time_point> m_heartbeatAt { std::chrono::steady_clock::time_point() };
     std::mutex m_mutex;
     std::vector<Run> m_runs;
     std::vector<std::thread> m_threads;
@@ -142,8 +149,9 @@
     std::thread m_beatThread;
 };
 
-/** Returns a configuration with one route for "/a/" to the service. */
-std::string configuration(int version, const std::string& service, const std::string& routeType);
+/** Returns a configuration with a route for "/PREFIX/" to one service for each pair of a prefix and a service. */
+std::string configuration(int version, const std::vector<std::pair<std::string, std::string>>& routes,
+    const std::string& routeType = "idempotent");
 
 /** Returns bytes with control characters as escapes, for the record. */
 std::string printable(const std::string& bytes);
