--- a/review/7/otherwriter.cpp
+++ b/review/8/otherwriter.cpp
@@ -58,13 +58,12 @@
     Deployment deployment(record, argv[1], 5, 2);
     std::vector<std::unique_ptr<Backend>> backends;
     for (int number = 0; number < 4; ++number)
-        backends.push_back(
-            std::make_unique<Backend>(record, deployment, number, number < 2 ? "muster" : "invoicing"));
+        backends.push_back(std::make_unique<Backend>(record, deployment, number, number < 2 ? "muster" : "invoicing"));
     if (!deployment.start(configuration(1, { { "a", "muster" } })))
         return 2;
     std::string answer;
-    if (deployment.call("POST", "/api/Config.Replace", configuration(2, { { "a", "muster" }, { "b", "invoicing" } }),
-            answer)
+    if (deployment.call(
+            "POST", "/api/Config.Replace", configuration(2, { { "a", "muster" }, { "b", "invoicing" } }), answer)
         != 200)
         return 2;
     record.write("operator: configuration 2 acknowledged, with a second route");
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 mkdir -p build-2
 echo '*' > build-2/.gitignore
 g++ -std=c++17 -O1 -Wall -Wextra -pthread -Istandin-2 -c standin-2/deployment.cpp -o build-2/deployment.o
-for program in 7/otherwriter 8/smuggled 9/head; do
+for program in 8/otherwriter 9/smuggled 10/head; do
     g++ -std=c++17 -O1 -Wall -Wextra -pthread -Istandin-2 $program.cpp build-2/deployment.o -o build-2/${program#*/}
 done
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -237,8 +237,8 @@
     std::string seeds;
     for (int number = 0; number < std::min(3, m_controlCount); ++number)
         seeds += (number > 0 ? "," : "") + ("\"" + controlIp(number)) + ":" + std::to_string(m_controlPort) + "\"";
-    const std::string common = "seeds:\n  addresses: [" + seeds + "]\n  link_port: " + std::to_string(m_linkPort)
-        + "\n";
+    const std::string common
+        = "seeds:\n  addresses: [" + seeds + "]\n  link_port: " + std::to_string(m_linkPort) + "\n";
     const std::vector<std::string> zones { "dbg-north", "dbg-central", "dbg-south" };
     for (int number = 0; number < m_controlCount; ++number) {
         const std::string ip = controlIp(number);
@@ -299,8 +299,7 @@
     return status == 200;
 }
 
-int Deployment::call(
-    const std::string& method, const std::string& path, const std::string& body, std::string& answer)
+int Deployment::call(const std::string& method, const std::string& path, const std::string& body, std::string& answer)
 {
     std::string redirected;
     for (int attempt = 0; attempt < 100; ++attempt) {
@@ -407,8 +406,8 @@
             m_record.write("backend " + m_id + " runs: " + request.m_line + ", Request-Id " + id + ", body of "
                 + std::to_string(request.m_body.size()) + " bytes");
             const std::string body = "answer to " + id;
-            answer += "200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + m_id + "." + id + "\r\nContent-Length: "
-                + std::to_string(body.size()) + "\r\n";
+            answer += "200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + m_id + "." + id
+                + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
             // The answer to HEAD has the head of the answer to GET, and no body.
             if (request.m_line.rfind("HEAD ", 0) != 0) {
                 if (!connection.send(answer + "\r\n" + body))
@@ -451,15 +450,16 @@
     std::string serviceList;
     for (const auto& [prefix, service] : routes) {
         const char* comma = routeList.empty() ? "" : ",";
-        routeList += comma + ("{\"name\":\"r-" + prefix) + "\",\"hostname\":\"" + host + "\",\"pathPrefix\":\"/" + prefix
-            + "/\",\"routeType\":\"" + routeType
+        routeList += comma + ("{\"name\":\"r-" + prefix) + "\",\"hostname\":\"" + host + "\",\"pathPrefix\":\"/"
+            + prefix + "/\",\"routeType\":\"" + routeType
             + "\",\"timeoutMs\":2500,\"targetLatencyMs\":600,\"priority\":2,\"service\":\"" + service
             + "\",\"maxAttempts\":2}";
         serviceList += comma + ("{\"name\":\"" + service)
             + "\",\"healthPath\":\"/health\",\"maxConnections\":91,\"protocol\":\"h1\",\"tls\":false}";
     }
     return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routeList + "],\"services\":[" + serviceList
-        + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000"
+        + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":"
+          "15000"
           "}}";
 }
 
