--- a/review/8/otherwriter.cpp
+++ b/review/8/otherwriter.cpp
@@ -52,10 +52,10 @@
 
 int main(int argc, char** argv)
 {
-    if (argc != 3)
+    if (argc != 4)
         return 2;
     Record record(argv[2]);
-    Deployment deployment(record, argv[1], 5, 2);
+    Deployment deployment(record, argv[1], argv[3], 5, 2);
     std::vector<std::unique_ptr<Backend>> backends;
     for (int number = 0; number < 4; ++number)
         backends.push_back(std::make_unique<Backend>(record, deployment, number, number < 2 ? "muster" : "invoicing"));
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -7,12 +7,12 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
-#include <filesystem>
 #include <fstream>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <random>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -188,18 +188,19 @@
     return true;
 }
 
-Deployment::Deployment(Record& record, const std::string& program, int controlCount, int frontCount)
+Deployment::Deployment(
+    Record& record, const std::string& program, const std::string& folder, int controlCount, int frontCount)
     : m_record(record)
     , m_program(program)
+    , m_folder(folder)
     , m_controlCount(controlCount)
     , m_frontCount(frontCount)
 {
-    char folder[] = "/tmp/flamingo-review-XXXXXX";
-    m_folder = ::mkdtemp(folder);
     std::random_device random;
     for (int attempt = 0; attempt < 50; ++attempt) {
         m_network = "127." + std::to_string(20 + random() % 200);
-        if (portsAreFree())
+        m_portsFree = portsAreFree();
+        if (m_portsFree)
             break;
     }
 }
@@ -210,24 +211,26 @@
         ::kill(process, SIGKILL);
     for (const auto& [name, process] : m_processes)
         ::waitpid(process, nullptr, 0);
-    std::error_code ignored;
-    std::filesystem::remove_all(m_folder, ignored);
 }
 
 bool Deployment::portsAreFree() const
 {
     std::vector<int> sockets;
     for (int number = 0; number < m_controlCount; ++number) {
-        sockets.push_back(listenOn(controlIp(number), m_controlPort));
-        sockets.push_back(listenOn(controlIp(number), m_linkPort));
+        for (const int port : { m_controlPort, m_linkPort, m_linkPort + 1 })
+            sockets.push_back(listenOn(controlIp(number), port));
     }
     for (int number = 0; number < m_frontCount; ++number) {
-        for (const int port : { m_frontPort, m_readyPort, m_linkPort })
+        for (const int port : { m_frontPort, m_readyPort, m_linkPort, m_linkPort + 1 })
             sockets.push_back(listenOn(frontIp(number), port));
     }
+    for (int number = 0; number < maxBackends; ++number)
+        sockets.push_back(listenOn(backendIp(number), m_backendPort));
     const bool free = std::find(sockets.begin(), sockets.end(), -1) == sockets.end();
-    for (const int socket : sockets)
-        ::close(socket);
+    for (const int socket : sockets) {
+        if (socket >= 0)
+            ::close(socket);
+    }
     return free;
 }
 
@@ -265,8 +268,13 @@
 {
     const std::string settings = "--settings=" + m_folder + "/" + name + ".yaml";
     const std::string log = m_folder + "/" + name + ".log";
+    const int parent = ::getpid();
     const int process = ::fork();
     if (process == 0) {
+        // The process ends with this one, however this one ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (::getppid() != parent)
+            ::_exit(127);
         const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
@@ -279,6 +287,8 @@
 
 bool Deployment::start(const std::string& configuration)
 {
+    if (!m_portsFree)
+        return false;
     writeSettings();
     for (int number = 0; number < m_controlCount; ++number)
         startProcess("core-" + std::to_string(number));
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -74,7 +74,8 @@
 /** The processes of the system, on loopback addresses of their own, and calls of the operator. */
 class Deployment {
 public:
-    Deployment(Record& record, const std::string& program, int controlCount, int frontCount);
+    /** Uses the folder, which the caller removes, for settings, logs and data. Call it on the main thread. */
+    Deployment(Record& record, const std::string& program, const std::string& folder, int controlCount, int frontCount);
     ~Deployment();
 
     /** Starts all processes, sends the configuration, and waits until all front processes are ready. */
@@ -97,6 +98,8 @@
 
     Record& m_record;
     std::string m_program;
+    static constexpr int maxBackends = 8;
+
     std::string m_folder;
     std::string m_network;
     int m_controlCount;
@@ -106,6 +109,7 @@
     int m_readyPort = 18108;
     int m_backendPort = 18200;
     int m_linkPort = 17380;
+    bool m_portsFree = false;
     std::map<std::string, int> m_processes;
 };
 
