Log the voters of the control group and those that do not answer

The leader logs "control voters changed" whenever its configuration or the list of unresponsive voters changes, and two metrics count both. The rule that removes a voter is unchanged; it now uses the same list.

--- a/src/libflamingo/consensus/consensusjoin.cpp
+++ b/src/libflamingo/consensus/consensusjoin.cpp
@@ -10,8 +10,6 @@
 
 constexpr Milliseconds kInvitationLifetime { 60'000 };
 constexpr Milliseconds kInvitationInterval { 500 };
-// A voter without an answer for this time may be removed if the number of voters is even. Longer than a restart takes.
-constexpr Milliseconds kVoterResponseTimeout { 2500 };
 
 bool hasVm(const Configuration& configuration, const VmId& vm)
 {
@@ -106,25 +104,11 @@
 {
     if (!m_settings.m_openMembership || role() != Role::Leader)
         return;
-    const Configuration& configuration = latestConfiguration(m_raft.m_log);
+    const VoterResponse response = voterResponse(now);
     // An even number of voters tolerates no more failures than the odd number below it, so one voter can be removed.
-    if (voterCount(configuration) % 2 != 0)
-        return;
-    const MemberRecord* unresponsive = nullptr;
-    for (const MemberRecord& member : configuration.m_members) {
-        if (!member.m_voter || member.m_id == m_raft.m_self)
-            continue;
-        const auto progress = m_raft.m_progress.find(member.m_id);
-        const bool responsive = progress != m_raft.m_progress.end() && progress->second.m_lastHeard
-            && now - *progress->second.m_lastHeard < kVoterResponseTimeout;
-        if (responsive || now - m_raft.m_leaderSince < kVoterResponseTimeout)
-            continue;
-        if (unresponsive)
-            return; // with two unresponsive voters it is not certain that the cluster can do without one of them
-        unresponsive = &member;
-    }
-    if (unresponsive)
-        processEvent(RemoveMemberEvent { MemberId(unresponsive->m_id) }, now);
+    // With two unresponsive voters it is not certain that the cluster can do without one of them.
+    if (response.m_voters % 2 == 0 && response.m_unresponsive.size() == 1)
+        processEvent(RemoveMemberEvent { response.m_unresponsive.front() }, now);
 }
 
 void ConsensusMember::processInvitations(MonotonicTime now)
--- a/src/libflamingo/consensus/consensusmember.h
+++ b/src/libflamingo/consensus/consensusmember.h
@@ -8,6 +8,7 @@
 #include "consensus/memberview.h"
 #include "consensus/raftevent.h"
 #include "consensus/raftstate.h"
+#include "consensus/voterresponse.h"
 
 #include <functional>
 #include <map>
@@ -100,6 +101,8 @@
     LogIndex appliedIndex() const { return m_appliedIndex; }
     LogIndex commitIndex() const { return m_raft.m_commitIndex; }
     std::vector<MemberView> members(MonotonicTime now) const;
+    /** Returns how the voters answer this member. Precondition: role() is Leader. */
+    VoterResponse voterResponse(MonotonicTime now) const { return flamingo::voterResponse(m_raft, now); }
     /** Returns the control addresses of all members. */
     std::vector<std::string> memberAddresses() const;
     /** Returns whether the cluster has removed this member. To rejoin, the VM needs an empty data folder. */
--- a/src/libflamingo/consensus/raftoptions.h
+++ b/src/libflamingo/consensus/raftoptions.h
@@ -13,6 +13,8 @@
     // A leader steps down after this time without answers from a majority. A follower starts an election after this
     // time plus a heartbeat plus a random part. An election thus ends well before the 3 s leases expire.
     Milliseconds m_electionTimeout { 700 };
+    // A voter without an answer to the leader for this time is unresponsive. Longer than a restart takes.
+    Milliseconds m_voterResponseTimeout { 2500 };
     std::size_t m_maxAppendBytes = 1U << 20;
     std::size_t m_snapshotChunkBytes = 1U << 20;
     // Maximum number of entries sent to a member before it acknowledges them.
--- a/src/libflamingo/daemon/controlrole.cpp
+++ b/src/libflamingo/daemon/controlrole.cpp
@@ -30,6 +30,24 @@
         { "draining", expired.m_draining }, { "endpoints", endpoints }, { "ttl_ms", ttl });
 }
 
+std::string joinIds(const std::vector<MemberId>& members)
+{
+    std::string text;
+    for (const MemberId& member : members)
+        text += (text.empty() ? "" : ",") + member.value();
+    return text;
+}
+
+std::string joinVoterAddresses(const Configuration& configuration)
+{
+    std::string text;
+    for (const MemberRecord& member : configuration.m_members) {
+        if (member.m_voter)
+            text += (text.empty() ? "" : ",") + member.m_address;
+    }
+    return text;
+}
+
 } // namespace
 
 ControlRole::ControlRole(
@@ -113,6 +131,23 @@
         fail(reason);
 }
 
+void ControlRole::logVoters(MonotonicTime now)
+{
+    if (m_member->role() != Role::Leader) {
+        m_loggedConfiguration = LogIndex();
+        return;
+    }
+    const LogIndex configuration = latestConfigurationIndex(m_member->raft().m_log);
+    const VoterResponse response = m_member->voterResponse(now);
+    if (configuration == m_loggedConfiguration && response.m_unresponsive == m_loggedUnresponsive)
+        return;
+    m_loggedConfiguration = configuration;
+    m_loggedUnresponsive = response.m_unresponsive;
+    FLAMINGO_LOG(Info, "control voters changed", { "voters", response.m_voters }, { "quorum", response.m_quorum },
+        { "learners", response.m_learners }, { "unresponsive", joinIds(response.m_unresponsive) },
+        { "addresses", joinVoterAddresses(latestConfiguration(m_member->raft().m_log)) });
+}
+
 void ControlRole::makeService()
 {
     ControlServicePorts ports;
@@ -187,6 +222,8 @@
     m_service->tick(now);
     if (m_api)
         m_api->tick(now);
+    if (m_member)
+        logVoters(now);
     rejoinIfRemoved(now);
 }
 
--- a/src/libflamingo/daemon/controlrole.h
+++ b/src/libflamingo/daemon/controlrole.h
@@ -2,6 +2,7 @@
 
 #include "base/reason.h"
 #include "base/time.h"
+#include "consensus/logtypes.h"
 #include "consensus/membersettings.h"
 #include "control/controlservicesettings.h"
 #include "daemon/peerlinks.h"
@@ -14,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace boost::asio {
 class io_context;
@@ -86,6 +88,8 @@
     void rejoinIfRemoved(MonotonicTime now);
     void closeMember();
     void reopenIfFailed(MonotonicTime now);
+    /** Logs the voters if this member leads and they or the unresponsive ones have changed. Precondition: isOpen(). */
+    void logVoters(MonotonicTime now);
     AdminReply administer(const AdminRequest& request);
 
     boost::asio::io_context& m_io;
@@ -98,6 +102,8 @@
     std::unique_ptr<ControlApi> m_api;
     std::map<LinkId, bool> m_isEntryLink; // for each open link: true for entry VMs, false for other members
     std::uint64_t m_services = 0; // number of services created so far, one each time the log is opened
+    LogIndex m_loggedConfiguration; // of the last log line about the voters; zero if this member does not lead
+    std::vector<MemberId> m_loggedUnresponsive;
     bool m_stopped = false;
     MonotonicTime m_reopenAt {}; // earliest time of the next attempt to reopen the log
 };
--- a/src/libflamingo/daemon/daemonmetrics.cpp
+++ b/src/libflamingo/daemon/daemonmetrics.cpp
@@ -123,6 +123,12 @@
     setGauge(
         "flamingo_control_leads", "1 while this VM leads the control group.", member.role() == Role::Leader ? 1 : 0);
     setGauge("flamingo_control_term", "Term of the replicated log.", double(member.term().value()));
+    const bool leads = member.role() == Role::Leader;
+    const VoterResponse voters = leads ? member.voterResponse(monotonicNow()) : VoterResponse();
+    setGauge(
+        "flamingo_control_voters", "Voters of the control group; 0 on VMs that do not lead.", double(voters.m_voters));
+    setGauge("flamingo_control_unresponsive_voters", "Voters that have not answered the leader for 2.5 s.",
+        double(voters.m_unresponsive.size()));
     setGauge("flamingo_control_applied_index", "Index of the last applied log entry.",
         double(member.appliedIndex().value()));
     setGauge("flamingo_control_applied_entries", "Log entries applied since the start.", double(counts.m_applied));
