Replace control VMs that are gone for good, however many at a time

The acknowledged configuration could not be read, and no request was served.

Cause: a silent voter was removed only if the number of voters was even and no other voter was silent. Both successors were promoted first, so that the group had 7 voters, two of which were gone, and needed 4 of 5.

Change: one function, nextVoterChange, decides on all changes that a leader makes by itself. With the number of losses that must be survived (new setting control.tolerated_losses, f below), - a silent voter beyond 2f + 1 is removed, whether their number is even or odd and however many are silent, as long as the others could not bear f more losses; - a learner that has caught up takes the place of a silent voter: the voter is removed first, which does not raise the quorum; - a learner waits while a voter is silent for less than the 2.5 s after which it counts as gone.

Why it cannot remove too many: no removal goes below 2f + 1 voters without a learner that takes over the vote, and none below 2f, whose quorum is f + 1 too. A quorum of the remaining voters commits each change and has all earlier entries, so that each acknowledged entry is on f + 1 of the present voters, whichever were removed. A leader without a quorum changes nothing. If f is not set, a voter is removed from an even number only, which tolerates no more than the odd one below.

Tests: voterchangetest.cpp plays two losses with and without the leader, planned replacements, series, leader changes, late successors, cuts, freezes and random orders of these, and then loses two disks. Newcomers of these plays start with running VMs as seeds, since a machine is given those of its time.

--- a/src/libflamingo/consensus/consensusjoin.cpp
+++ b/src/libflamingo/consensus/consensusjoin.cpp
@@ -100,17 +100,6 @@
     return true;
 }
 
-void ConsensusMember::removeUnresponsiveVoter(MonotonicTime now)
-{
-    if (!m_settings.m_openMembership || role() != Role::Leader)
-        return;
-    const VoterResponse response = voterResponse(now);
-    // An even number of voters tolerates no more failures than the odd number below it, so one voter can be removed.
-    // With two unresponsive voters it is not certain that the cluster can do without one of them.
-    if (response.m_voters % 2 == 0 && response.m_unresponsive.size() == 1)
-        processEvent(RemoveMemberEvent { response.m_unresponsive.front() }, now);
-}
-
 void ConsensusMember::processInvitations(MonotonicTime now)
 {
     if (role() != Role::Leader) {
--- a/src/libflamingo/consensus/consensusmember.cpp
+++ b/src/libflamingo/consensus/consensusmember.cpp
@@ -35,6 +35,7 @@
     , m_callbacks(std::move(callbacks))
     , m_storage(std::move(storage))
 {
+    m_settings.m_raft.m_removesUnresponsiveVoters = m_settings.m_openMembership;
     m_bootstrap.m_vm = m_settings.m_vm;
     m_bootstrap.m_address = m_settings.m_address;
     m_bootstrap.m_initialMembers = m_settings.m_initialMembers;
@@ -241,7 +242,6 @@
         return;
     runBootstrap(now);
     processInvitations(now);
-    removeUnresponsiveVoter(now);
     flush(now);
 }
 
--- a/src/libflamingo/consensus/consensusmember.h
+++ b/src/libflamingo/consensus/consensusmember.h
@@ -137,7 +137,6 @@
     std::string addressOf(const MemberId& member) const;
     void runBootstrap(MonotonicTime now);
     void processInvitations(MonotonicTime now);
-    void removeUnresponsiveVoter(MonotonicTime now);
     void handleJoin(const RaftMessage& message, const JoinRequest& request, MonotonicTime now);
     void handleInvitedStatus(const RaftMessage& message, const StatusAnswer& answer, MonotonicTime now);
     void handleJoinAnswer(const JoinAnswer& answer);
--- a/src/libflamingo/consensus/membersettings.h
+++ b/src/libflamingo/consensus/membersettings.h
@@ -19,8 +19,7 @@
     std::string m_address; // IP address and port at which the other members reach this one
     std::vector<InitialMember> m_initialMembers;
     bool m_bootstrapAllowed = false; // a new cluster may form if one of the initial members allows it
-    // Allows VMs that are not initial members to join. If the number of voters is even and one of them stops
-    // responding, the leader removes it, so that a replacement at another address can take over its vote. A removed
+    // Allows VMs that are not initial members to join, and sets RaftOptions::m_removesUnresponsiveVoters. A removed
     // member can rejoin only with an empty data folder.
     bool m_openMembership = false;
     // Seed of the incarnation in the member id and of the election timeouts. Must be unpredictable.
--- a/src/libflamingo/consensus/raftinternal.h
+++ b/src/libflamingo/consensus/raftinternal.h
@@ -49,13 +49,11 @@
 // Membership (raftmembership.cpp)
 /** Returns whether the member has answered the leader within the election timeout; always true for this member. */
 bool isActive(const RaftState& state, const MemberId& id, MonotonicTime now);
+/** Returns whether the member has answered the leader within the election timeout and has all committed entries. */
+bool isCaughtUp(const RaftState& state, const MemberId& id, MonotonicTime now);
 void handleMembershipEvent(RaftState& state, const RaftEvent& event, MonotonicTime now, Effects& effects);
-/**
- * Promotes a learner that has caught up, or first removes the inactive previous member of its VM.
- *
- * Starts at most one membership change.
- */
-void promoteLearners(RaftState& state, MonotonicTime now, Effects& effects);
+/** Makes the next change of the voters, if one is due and no earlier change is uncommitted. */
+void changeVoters(RaftState& state, MonotonicTime now, Effects& effects);
 
 /** Adds a message of the current term to the effects. */
 template <typename Body> void sendTo(RaftState& state, const MemberId& to, Body body, Effects& effects)
--- a/src/libflamingo/consensus/raftmembership.cpp
+++ b/src/libflamingo/consensus/raftmembership.cpp
@@ -1,4 +1,5 @@
 #include "consensus/raftinternal.h"
+#include "consensus/voterchange.h"
 
 namespace flamingo::detail {
 
@@ -47,13 +48,6 @@
     return std::nullopt;
 }
 
-bool isCaughtUp(const RaftState& state, const MemberId& id, MonotonicTime now)
-{
-    const auto found = state.m_progress.find(id);
-    return found != state.m_progress.end() && isActive(state, id, now)
-        && found->second.m_matchIndex >= state.m_commitIndex;
-}
-
 void changeConfiguration(RaftState& state, Configuration configuration, MonotonicTime now, Effects& effects)
 {
     appendOwn(state, std::move(configuration), effects);
@@ -162,6 +156,13 @@
         && now - *found->second.m_lastHeard <= state.m_options.m_electionTimeout;
 }
 
+bool isCaughtUp(const RaftState& state, const MemberId& id, MonotonicTime now)
+{
+    const auto found = state.m_progress.find(id);
+    return found != state.m_progress.end() && isActive(state, id, now)
+        && found->second.m_matchIndex >= state.m_commitIndex;
+}
+
 void handleMembershipEvent(RaftState& state, const RaftEvent& event, MonotonicTime now, Effects& effects)
 {
     if (const auto* form = std::get_if<FormClusterEvent>(&event)) {
@@ -181,33 +182,22 @@
         changeAddress(state, *address, now, effects);
 }
 
-void promoteLearners(RaftState& state, MonotonicTime now, Effects& effects)
+void changeVoters(RaftState& state, MonotonicTime now, Effects& effects)
 {
     if (changeRefusal(state))
         return;
-    const Configuration configuration = latestConfiguration(state.m_log);
-    for (const MemberRecord& learner : configuration.m_members) {
-        if (learner.m_voter || !isCaughtUp(state, learner.m_id, now))
-            continue;
-        const MemberRecord* predecessor = nullptr;
-        for (const MemberRecord& member : configuration.m_members) {
-            if (member.m_vm == learner.m_vm && member.m_id != learner.m_id)
-                predecessor = &member;
-        }
-        Effects attempt;
-        if (!predecessor)
-            promote(state, learner.m_id, now, attempt);
-        else if (!isActive(state, predecessor->m_id, now))
-            removeMember(state, predecessor->m_id, now, attempt);
-        else
-            continue;
-        if (attempt.m_refusal)
-            continue;
-        // Only one change at a time. A later tick continues once this change is committed.
-        effects.m_append.insert(effects.m_append.end(), attempt.m_append.begin(), attempt.m_append.end());
-        effects.m_messages.insert(effects.m_messages.end(), attempt.m_messages.begin(), attempt.m_messages.end());
+    const auto change = nextVoterChange(state, now);
+    if (!change)
         return;
-    }
+    Effects attempt;
+    if (change->m_kind == VoterChange::Kind::Promote)
+        promote(state, change->m_member, now, attempt);
+    else
+        removeMember(state, change->m_member, now, attempt);
+    if (attempt.m_refusal)
+        return;
+    effects.m_append.insert(effects.m_append.end(), attempt.m_append.begin(), attempt.m_append.end());
+    effects.m_messages.insert(effects.m_messages.end(), attempt.m_messages.begin(), attempt.m_messages.end());
 }
 
 } // namespace flamingo::detail
--- a/src/libflamingo/consensus/raftoptions.h
+++ b/src/libflamingo/consensus/raftoptions.h
@@ -15,6 +15,10 @@
     Milliseconds m_electionTimeout { 700 };
     // A voter without an answer to the leader for this time is unresponsive. Longer than a restart takes.
     Milliseconds m_voterResponseTimeout { 2500 };
+    // Whether the leader removes unresponsive voters, so that VMs with other names can replace them.
+    bool m_removesUnresponsiveVoters = false;
+    // Number of members whose loss at the same time the group has to survive, data folders included; 0 if not known.
+    std::size_t m_toleratedLosses = 0;
     std::size_t m_maxAppendBytes = 1U << 20;
     std::size_t m_snapshotChunkBytes = 1U << 20;
     // Maximum number of entries sent to a member before it acknowledges them.
--- a/src/libflamingo/consensus/raftstep.cpp
+++ b/src/libflamingo/consensus/raftstep.cpp
@@ -54,7 +54,7 @@
     }
     if (now >= state.m_nextHeartbeat)
         startRound(state, now, effects);
-    promoteLearners(state, now, effects);
+    changeVoters(state, now, effects);
 }
 
 bool isAnswer(const RaftBody& body)
--- a/src/libflamingo/consensus/tests/testcluster.cpp
+++ b/src/libflamingo/consensus/tests/testcluster.cpp
@@ -112,9 +112,9 @@
     settings.m_folder = m_vms[vm].m_disk->folder();
     settings.m_vm = m_vms[vm].m_vm;
     settings.m_address = m_vms[vm].m_address;
-    settings.m_initialMembers = m_initialMembers;
+    settings.m_initialMembers = m_runningSeeds ? runningSeeds() : m_initialMembers;
     settings.m_openMembership = m_openMembership;
-    settings.m_bootstrapAllowed = vm < static_cast<int>(m_initialMembers.size());
+    settings.m_bootstrapAllowed = !m_runningSeeds && vm < static_cast<int>(m_initialMembers.size());
     settings.m_seed = m_random();
     settings.m_snapshotInterval = m_snapshotInterval;
     settings.m_raft = m_options;
@@ -122,6 +122,17 @@
     return settings;
 }
 
+std::vector<InitialMember> TestCluster::runningSeeds() const
+{
+    constexpr std::size_t kSeeds = 3;
+    std::vector<InitialMember> seeds;
+    for (const TestVm& vm : m_vms) {
+        if (vm.m_member && seeds.size() < kSeeds)
+            seeds.push_back({ vm.m_vm, vm.m_address });
+    }
+    return seeds;
+}
+
 MemberCallbacks TestCluster::callbacksOf(int vm)
 {
     MemberCallbacks callbacks;
--- a/src/libflamingo/consensus/tests/testcluster.h
+++ b/src/libflamingo/consensus/tests/testcluster.h
@@ -115,6 +115,7 @@
     std::uint64_t m_snapshotInterval = 256;
     bool m_batching = false; // proposals are written at the next tick
     bool m_openMembership = false;
+    bool m_runningSeeds = false; // VMs start with three running VMs as their seeds in place of the initial members
     RaftOptions m_options;
     std::string m_violation;
     std::uint64_t m_framesSent = 0;
@@ -128,6 +129,7 @@
     };
 
     MemberSettings settingsOf(int vm);
+    std::vector<InitialMember> runningSeeds() const;
     MemberCallbacks callbacksOf(int vm);
     void send(const std::string& from, const std::string& to, const std::string& bytes);
     void deliverDueFrames();
--- /dev/null
+++ b/src/libflamingo/consensus/tests/voterchangetest.cpp
@@ -0,0 +1,332 @@
+#include "testcluster.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+
+using namespace flamingo;
+using namespace flamingo::test;
+
+namespace {
+
+constexpr std::size_t kToleratedLosses = 2;
+constexpr std::size_t kVoters = 2 * kToleratedLosses + 1;
+// From the start of a replacement to the end of its catching up; the VM that it replaces counts as lost until then.
+constexpr Milliseconds kCatchUp { 4000 };
+
+/** A cluster of five VMs that has to survive the loss of two, and that checks the number of its voters at each step. */
+struct Group {
+    TestCluster m_cluster;
+    int m_entries = 0; // acknowledged
+    std::string m_tooFewVoters;
+    bool m_isComplete = false; // had the required number of voters once
+
+    explicit Group(std::uint64_t seed)
+        : m_cluster(3, seed)
+    {
+        m_cluster.m_openMembership = true;
+        m_cluster.m_options.m_toleratedLosses = kToleratedLosses;
+        while (m_cluster.m_vms.size() < kVoters)
+            m_cluster.addVm();
+        m_cluster.startAll();
+        REQUIRE(m_cluster.awaitLeader());
+        REQUIRE(m_cluster.runUntil([&] { return m_cluster.membershipComplete(); }));
+        m_cluster.m_runningSeeds = true;
+    }
+
+    void run(Milliseconds duration)
+    {
+        for (Milliseconds passed { 0 }; passed < duration; passed += TestCluster::kStep) {
+            m_cluster.run(TestCluster::kStep);
+            checkVoters();
+        }
+    }
+
+    void checkVoters()
+    {
+        for (const TestVm& vm : m_cluster.m_vms) {
+            if (!vm.m_member)
+                continue;
+            const RaftState& raft = vm.m_member->raft();
+            const std::size_t voters = voterCount(configurationAt(raft.m_log, raft.m_commitIndex));
+            m_isComplete = m_isComplete || voters >= kVoters;
+            // A member that receives the log from the start applies the configurations of the formation again.
+            if (m_isComplete && vm.m_member->role() == Role::Leader && voters + 1 < kVoters)
+                m_tooFewVoters = std::to_string(voters) + " voters";
+        }
+    }
+
+    void acknowledge()
+    {
+        if (m_cluster.awaitLeader() && m_cluster.proposeAndAwait("entry" + std::to_string(m_entries)))
+            ++m_entries;
+    }
+
+    int addAndStart()
+    {
+        m_cluster.addVm();
+        const int vm = static_cast<int>(m_cluster.m_vms.size()) - 1;
+        m_cluster.start(vm);
+        return vm;
+    }
+
+    std::vector<int> running() const
+    {
+        std::vector<int> vms;
+        for (std::size_t i = 0; i < m_cluster.m_vms.size(); ++i) {
+            if (m_cluster.m_vms[i].m_member)
+                vms.push_back(static_cast<int>(i));
+        }
+        return vms;
+    }
+
+    int runningFollower() const
+    {
+        for (const int vm : running()) {
+            if (vm != m_cluster.leader())
+                return vm;
+        }
+        return -1;
+    }
+
+    void replace(int vm, Milliseconds pause)
+    {
+        m_cluster.crashAndLoseDisk(vm);
+        run(pause);
+        addAndStart();
+    }
+
+    /** Returns whether the group still serves and has all acknowledged entries after two VMs lost their data for good.
+     */
+    bool survivesTwoLostDisks()
+    {
+        acknowledge();
+        int lost = 0;
+        while (lost < static_cast<int>(kToleratedLosses)) {
+            const int leader = m_cluster.leader();
+            m_cluster.crashAndLoseDisk(lost == 0 && leader >= 0 ? leader : runningFollower());
+            ++lost;
+        }
+        if (!m_cluster.awaitLeader() || !m_cluster.proposeAndAwait("after two lost disks"))
+            return false;
+        // The members apply what the leader has committed, besides the entry just added.
+        return m_cluster.m_vms[m_cluster.leader()].m_applied.size() == static_cast<std::size_t>(m_entries) + 1;
+    }
+};
+
+} // namespace
+
+// Guards against voters that are gone for good and still count for the majority, so that the group has no leader after
+// losses that it has to survive.
+TEST_CASE("Control VMs that are gone for good are replaced, however many at a time")
+{
+    Group group(11);
+    TestCluster& cluster = group.m_cluster;
+    group.acknowledge();
+
+    SECTION("two are lost within half a second, and replaced two seconds later")
+    {
+        cluster.crashAndLoseDisk(group.runningFollower());
+        group.run(Milliseconds(500));
+        cluster.crashAndLoseDisk(group.runningFollower());
+        group.run(Milliseconds(1500));
+        group.addAndStart();
+        group.run(Milliseconds(500));
+        group.addAndStart();
+        group.run(kCatchUp);
+        CHECK(group.survivesTwoLostDisks());
+    }
+    SECTION("two are lost at once, the leader among them")
+    {
+        const int leader = cluster.leader();
+        cluster.crashAndLoseDisk(leader);
+        cluster.crashAndLoseDisk(group.runningFollower());
+        group.run(Milliseconds(2000));
+        group.addAndStart();
+        group.addAndStart();
+        group.run(kCatchUp);
+        CHECK(group.survivesTwoLostDisks());
+    }
+    SECTION("two are replaced as planned: both successors vote before the two leave")
+    {
+        const int first = group.runningFollower();
+        group.addAndStart();
+        group.addAndStart();
+        REQUIRE(cluster.runUntil([&] { return cluster.membershipComplete(); }));
+        cluster.crashAndLoseDisk(first);
+        group.run(Milliseconds(300));
+        cluster.crashAndLoseDisk(group.runningFollower());
+        group.run(kCatchUp);
+        CHECK(group.survivesTwoLostDisks());
+    }
+    SECTION("one is lost while a planned replacement of another one is in progress")
+    {
+        group.addAndStart();
+        group.run(Milliseconds(200));
+        cluster.crashAndLoseDisk(group.runningFollower());
+        group.run(Milliseconds(200));
+        cluster.crashAndLoseDisk(group.runningFollower());
+        group.run(Milliseconds(2000));
+        group.addAndStart();
+        group.run(kCatchUp);
+        CHECK(group.survivesTwoLostDisks());
+    }
+    SECTION("two are replaced, then two again, and the leader changes in between")
+    {
+        for (int round = 0; round < 2; ++round) {
+            group.replace(group.runningFollower(), Milliseconds(100));
+            const int leader = cluster.leader();
+            if (leader >= 0) {
+                cluster.m_vms[leader].m_suspended = true;
+                group.run(Milliseconds(1500));
+                cluster.m_vms[leader].m_suspended = false;
+            }
+            group.replace(group.runningFollower(), Milliseconds(2000));
+            group.run(kCatchUp);
+        }
+        CHECK(group.survivesTwoLostDisks());
+    }
+    SECTION("two stay away for long before their successors come")
+    {
+        cluster.crashAndLoseDisk(group.runningFollower());
+        cluster.crashAndLoseDisk(group.runningFollower());
+        group.run(Milliseconds(20'000));
+        group.addAndStart();
+        group.run(Milliseconds(10'000));
+        group.addAndStart();
+        group.run(kCatchUp);
+        CHECK(group.survivesTwoLostDisks());
+    }
+    SECTION("a successor is lost as soon as it votes, and replaced as well")
+    {
+        group.replace(group.runningFollower(), Milliseconds(2000));
+        const int successor = static_cast<int>(cluster.m_vms.size()) - 1;
+        const auto votes = [&] {
+            const int leader = cluster.leader();
+            return leader >= 0
+                && isVoter(latestConfiguration(cluster.m_vms[leader].m_member->raft().m_log),
+                    cluster.m_vms[successor].m_member->id());
+        };
+        REQUIRE(cluster.runUntil(votes));
+        group.replace(successor, Milliseconds(2000));
+        group.run(kCatchUp);
+        CHECK(group.survivesTwoLostDisks());
+    }
+    CHECK(group.m_tooFewVoters.empty());
+    CHECK(cluster.m_violation.empty());
+}
+
+// Guards against removals of voters that are only cut off or frozen, which would leave acknowledged entries on fewer
+// disks than the number of losses to survive.
+TEST_CASE("A group that is only cut or frozen keeps its voters")
+{
+    Group group(5);
+    TestCluster& cluster = group.m_cluster;
+    group.acknowledge();
+    const int leader = cluster.leader();
+    const std::set<int> others { (leader + 1) % 5, (leader + 2) % 5 };
+
+    SECTION("two are cut off for ten seconds")
+    {
+        cluster.partition(others);
+        group.run(Milliseconds(10'000));
+        group.acknowledge();
+        cluster.heal();
+        group.run(kCatchUp);
+        CHECK(cluster.membershipComplete());
+        CHECK(cluster.m_vms.size() == kVoters);
+        for (const int vm : others)
+            CHECK_FALSE(cluster.m_vms[vm].m_member->removed());
+        CHECK(group.survivesTwoLostDisks());
+    }
+    SECTION("three are cut off from the leader, which can change nothing")
+    {
+        cluster.partition({ leader, (leader + 1) % 5 });
+        group.run(Milliseconds(10'000));
+        cluster.heal();
+        group.run(kCatchUp);
+        CHECK(cluster.membershipComplete());
+        CHECK(group.survivesTwoLostDisks());
+    }
+    SECTION("two freeze while two new VMs join, so that they are taken for lost")
+    {
+        for (const int vm : others)
+            cluster.m_vms[vm].m_suspended = true;
+        group.run(Milliseconds(3000));
+        group.addAndStart();
+        group.addAndStart();
+        group.run(Milliseconds(3000));
+        group.acknowledge();
+        for (const int vm : others)
+            cluster.m_vms[vm].m_suspended = false;
+        group.run(kCatchUp);
+        for (const int vm : others) {
+            CHECK(cluster.m_vms[vm].m_member->removed());
+            cluster.crash(vm);
+        }
+        CHECK(group.survivesTwoLostDisks());
+    }
+    CHECK(group.m_tooFewVoters.empty());
+    CHECK(cluster.m_violation.empty());
+}
+
+// Guards against an order of losses, successors, cuts and freezes after which the group does not survive two lost
+// disks.
+TEST_CASE("After random replacements the group survives the loss of two disks")
+{
+    rc::prop("up to two VMs are lost, cut or frozen at a time", [](std::uint64_t seed) {
+        Group group(seed);
+        TestCluster& cluster = group.m_cluster;
+        const auto pause = [&](std::uint64_t limit) {
+            group.run(Milliseconds(static_cast<std::int64_t>(cluster.m_random() % limit)));
+        };
+        for (int round = 0; round < 3; ++round) {
+            std::vector<int> frozen;
+            int successors = 0;
+            for (std::size_t lost = 0; lost < kToleratedLosses; ++lost) {
+                const std::vector<int> vms = group.running();
+                const int vm = vms[cluster.m_random() % vms.size()];
+                if (std::find(frozen.begin(), frozen.end(), vm) != frozen.end())
+                    continue;
+                if (cluster.m_random() % 3 == 0) {
+                    cluster.m_vms[vm].m_suspended = true;
+                    frozen.push_back(vm);
+                } else {
+                    if (cluster.m_random() % 3 == 0)
+                        group.addAndStart(); // planned: the successor comes first
+                    else
+                        ++successors;
+                    pause(1000);
+                    cluster.crashAndLoseDisk(vm);
+                }
+                pause(600);
+                if (cluster.m_random() % 2 == 0)
+                    group.acknowledge();
+            }
+            pause(4000);
+            for (; successors > 0; --successors) {
+                group.addAndStart();
+                pause(700);
+            }
+            pause(4000);
+            for (const int vm : frozen)
+                cluster.m_vms[vm].m_suspended = false;
+            group.run(kCatchUp);
+            // A removed member starts again with an empty data folder.
+            for (const int vm : group.running()) {
+                if (cluster.m_vms[vm].m_member->removed()) {
+                    cluster.crashAndLoseDisk(vm);
+                    cluster.start(vm);
+                }
+            }
+            group.run(kCatchUp);
+            group.acknowledge();
+        }
+        if (!cluster.m_violation.empty())
+            RC_FAIL(cluster.m_violation);
+        RC_ASSERT(group.m_tooFewVoters.empty());
+        RC_ASSERT(group.survivesTwoLostDisks());
+        RC_ASSERT(cluster.m_violation.empty());
+    });
+}
--- a/src/libflamingo/daemon/daemon.cpp
+++ b/src/libflamingo/daemon/daemon.cpp
@@ -89,6 +89,7 @@
     const bool hasSeeds = m_settings.m_control.m_members.empty();
     role.m_member.m_vm = hasSeeds ? VmId(m_settings.m_control.m_listen.m_ip) : m_settings.m_vm;
     role.m_member.m_openMembership = hasSeeds;
+    role.m_member.m_raft.m_toleratedLosses = m_settings.m_control.m_toleratedLosses;
     role.m_member.m_address = ownControlAddress(m_settings);
     role.m_member.m_initialMembers = initialMembers(m_settings);
     // Without a list of members, a control VM that is not a seed joins the cluster formed by the seeds.
--- a/src/libflamingo/settings/settings.h
+++ b/src/libflamingo/settings/settings.h
@@ -35,6 +35,8 @@
     std::string m_dataFolder; // absolute path
     std::vector<ControlMember> m_members;
     bool m_bootstrap = false; // allows a new cluster if no listed member has a log, a snapshot or a vote
+    // Number of control VMs whose loss at the same time has to be survived, data folders included; 0 if not known.
+    std::uint32_t m_toleratedLosses = 0;
     SocketAddress m_api; // HTTP interface of the control role; disabled if the port is 0
     Milliseconds m_endpointHeartbeat { 2500 }; // interval at which endpoints announce themselves
 };
--- a/src/libflamingo/settings/settingsreader.cpp
+++ b/src/libflamingo/settings/settingsreader.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::uint32_t maxCount = 100000;
 constexpr std::uint32_t maxWeight = 1000;
+constexpr std::uint32_t maxToleratedLosses = 100;
 constexpr double maxExtraLoadShare = 10.0;
 constexpr double maxExtraLoadCalls = 1e9;
 constexpr double maxQuotaSlack = 1e9;
@@ -133,6 +134,7 @@
     section.flag("bootstrap", control.m_bootstrap);
     section.address("api", control.m_api);
     section.duration("endpoint_heartbeat", minHeartbeatInterval, maxDuration, control.m_endpointHeartbeat);
+    section.number("tolerated_losses", 0U, maxToleratedLosses, control.m_toleratedLosses);
     section.checkKeys();
     if (!settings.m_controlRole) {
         if (section.isPresent())
--- a/src/libflamingo/settings/tests/settingsreader.cpp
+++ b/src/libflamingo/settings/tests/settingsreader.cpp
@@ -188,11 +188,12 @@
     {
         const Outcome outcome = parse(vm
             + "roles: [control]\ncontrol:\n  listen: 10.0.0.2:7380\n  api: 10.0.0.2:8106\n  data_folder: /data\n"
-              "  bootstrap: true\n  endpoint_heartbeat: 1200 ms\n"
+              "  bootstrap: true\n  endpoint_heartbeat: 1200 ms\n  tolerated_losses: 2\n"
             + seeds);
         INFO(outcome.m_reason.m_text);
         REQUIRE(outcome.m_settings);
         CHECK(outcome.m_settings->m_control.m_endpointHeartbeat == Milliseconds(1200));
+        CHECK(outcome.m_settings->m_control.m_toleratedLosses == 2);
     }
     SECTION("a role without its section, a section without its role and a share above 10 are errors")
     {
