Tell a member of its removal only once the removal is committed

What could happen: a member emptied its data folder because of a removal that a later leader undoes. It was still a voter then, without its data: one more lost disk than failures had caused.

Cause: the answer to a join request looked at the latest configuration of the leader's log, committed or not. The answer to a vote request already looks at the committed one.

Change: the answer names a removal only if it is committed. The new test, in which a leader that is cut off from the majority has just written the removal, failed before (the member took itself for removed).

--- a/src/libflamingo/consensus/consensusjoin.cpp
+++ b/src/libflamingo/consensus/consensusjoin.cpp
@@ -54,7 +54,8 @@
         if (member->m_address != message.m_fromAddress)
             answer.m_accepted = processEvent(ChangeAddressEvent { message.m_from, message.m_fromAddress }, now);
     } else if (wasRemoved(configuration, message.m_from)) {
-        answer.m_removed = true;
+        // The member deletes its data. A removal that is not committed may still be undone by another leader.
+        answer.m_removed = wasRemoved(configurationAt(m_raft.m_log, m_raft.m_commitIndex), message.m_from);
         answer.m_text = "this member was removed from the cluster; its VM can rejoin with an empty data folder";
     } else if (m_settings.m_openMembership || hasVm(configuration, request.m_vm) || m_invitations.count(request.m_vm)) {
         const MemberRecord record { message.m_from, request.m_vm, message.m_fromAddress, false };
--- a/src/libflamingo/consensus/tests/voterchangetest.cpp
+++ b/src/libflamingo/consensus/tests/voterchangetest.cpp
@@ -271,6 +271,35 @@
     CHECK(cluster.m_violation.empty());
 }
 
+// Guards against a member that deletes its data because of a removal that another leader undoes.
+TEST_CASE("A member learns of its removal only once the removal is committed")
+{
+    Group group(3);
+    TestCluster& cluster = group.m_cluster;
+    group.acknowledge();
+    const int leader = cluster.leader();
+    const int removed = (leader + 1) % 5;
+    ConsensusMember& member = *cluster.m_vms[removed].m_member;
+    cluster.isolate(removed);
+    group.run(Milliseconds(4000));
+    cluster.heal();
+    cluster.partition({ leader, removed });
+    REQUIRE(cluster.m_vms[leader].m_member->removeMember(member.id(), cluster.m_now));
+    group.run(Milliseconds(500));
+    CHECK_FALSE(member.removed());
+
+    SECTION("it keeps its vote under another leader")
+    {
+        REQUIRE(cluster.runUntil([&] { return cluster.leader() >= 0 && cluster.leader() != leader; }));
+        group.acknowledge();
+        cluster.heal();
+        group.run(kCatchUp);
+        CHECK_FALSE(member.removed());
+        CHECK(cluster.membershipComplete());
+    }
+    CHECK(cluster.m_violation.empty());
+}
+
 // Guards against an order of losses, successors, cuts and freezes after which the group does not survive two lost
 // disks.
 TEST_CASE("After random replacements the group survives the loss of two disks")
