Let no heartbeat of an unconfigured service take a sound endpoint out of use

Cause: a heartbeat with a later start takes the id or the address of any registered endpoint, which is then recorded as having left, for good. Nothing asked whether a configuration names the service.

Change: a heartbeat whose service no configuration names leaves the id and the address to an endpoint of a configured service, and gives way to that one's heartbeats if it came first. It is still acknowledged, and registered where it takes nothing from others, since the configuration that names its service may be on its way.

--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -48,6 +48,21 @@
     return nullptr;
 }
 
+bool isConfigured(const PublishedState& published, const ServiceName& service)
+{
+    return published.m_routedServices.count(service) > 0 || published.m_services.count(service) > 0;
+}
+
+/**
+ * Returns whether the endpoint has to leave an id or an address to the other one, whatever their incarnations.
+ *
+ * Callers are only sent to endpoints of configured services. A report of another writer may name any other service.
+ */
+bool yieldsTo(const ControlState& state, const EndpointRecord& endpoint, const EndpointRecord& other)
+{
+    return isConfigured(state.m_published, other.m_service) && !isConfigured(state.m_published, endpoint.m_service);
+}
+
 bool sameRegistration(const EndpointRecord& a, const EndpointRecord& b)
 {
     return a.m_service == b.m_service && a.m_address == b.m_address && a.m_port == b.m_port && a.m_slots == b.m_slots
@@ -71,6 +86,16 @@
     return decision;
 }
 
+/** Returns why the endpoint may not take the address of the other one, or nothing if it may. */
+const char* addressRefusal(const ControlState& state, const EndpointRecord& endpoint, const EndpointRecord& other)
+{
+    if (yieldsTo(state, endpoint, other))
+        return "ignored: no configuration names the service, and the address belongs to an endpoint of another one";
+    if (other.m_incarnation > endpoint.m_incarnation && !yieldsTo(state, other, endpoint))
+        return "late: the address belongs to an endpoint with a later incarnation";
+    return nullptr;
+}
+
 /**
  * Registers an endpoint in place of any other one with its address.
  *
@@ -82,13 +107,16 @@
     HeartbeatDecision decision;
     decision.m_explanation = explanation;
     const EndpointRecord* other = otherAtAddress(state.m_published, endpoint);
-    if (other && other->m_incarnation > endpoint.m_incarnation) {
-        decision.m_explanation = "late: the address belongs to an endpoint with a later incarnation";
+    if (const char* refusal = other ? addressRefusal(state, endpoint, *other) : nullptr) {
+        decision.m_explanation = refusal;
         return decision;
     }
     const EndpointRecord* registered = findEndpoint(state, endpoint.m_id);
-    if (registered && registered->m_incarnation < endpoint.m_incarnation)
-        decision.m_commands.push_back(RemoveEndpoints { { { endpoint.m_id, registered->m_incarnation, false } } });
+    if (registered && registered->m_incarnation != endpoint.m_incarnation) {
+        // A later incarnation that gives way is not one that has left, since that would keep out the earlier one.
+        const bool givesWay = registered->m_incarnation > endpoint.m_incarnation;
+        decision.m_commands.push_back(RemoveEndpoints { { { endpoint.m_id, registered->m_incarnation, givesWay } } });
+    }
     if (other)
         decision.m_commands.push_back(RemoveEndpoints { { { other->m_id, other->m_incarnation, false } } });
     decision.m_commands.push_back(RegisterEndpoint { endpoint, {} });
@@ -104,17 +132,22 @@
     if (hasLeft(state, endpoint.m_id, endpoint.m_incarnation))
         return decideAfterDeparture(state, endpoint);
     const EndpointRecord* registered = findEndpoint(state, endpoint.m_id);
+    if (registered && yieldsTo(state, endpoint, *registered)) {
+        decision.m_explanation
+            = "ignored: no configuration names the service, and the id belongs to an endpoint of another one";
+        return decision;
+    }
     // A draining endpoint that is not registered needs no registration, since it gets no new calls. A record that it
     // has left also outlasts the registration of other incarnations and of other endpoints at its address.
     if (endpoint.m_draining && (!registered || registered->m_incarnation != endpoint.m_incarnation))
         return decideDeparture(state, { endpoint.m_id, endpoint.m_incarnation });
     if (!registered)
         return registerEndpoint(state, endpoint, "new endpoint");
-    if (registered->m_incarnation > endpoint.m_incarnation) {
+    if (registered->m_incarnation > endpoint.m_incarnation && !yieldsTo(state, *registered, endpoint)) {
         decision.m_explanation = "late: a later incarnation is registered";
         return decision;
     }
-    if (registered->m_incarnation < endpoint.m_incarnation)
+    if (registered->m_incarnation != endpoint.m_incarnation)
         return registerEndpoint(state, endpoint, "new incarnation");
     decision.m_renews = true;
     if (endpoint.m_draining && !registered->m_draining) {
--- a/src/libflamingo/control/tests/endpointreports.h
+++ b/src/libflamingo/control/tests/endpointreports.h
@@ -88,6 +88,16 @@
         return *outcome;
     }
 
+    /** Makes the command of an operator and commits it. */
+    void apply(CommandBody body)
+    {
+        Command command;
+        command.m_body = std::move(body);
+        m_service->submit(
+            std::move(command), [](const CommandResult& result) { REQUIRE(result.m_code == ResultCode::Ok); });
+        commit();
+    }
+
     /** Commits the oldest proposal. Returns false if there is none. */
     bool commitOne()
     {
