Check a registration before it removes another endpoint

What callers saw: an endpoint went out of use although the heartbeat that took its address or id was refused with 400 (for example with "slots" of 0; the review tried it by hand).

Cause: the removal of the other endpoint is a command of its own, committed before the registration is checked.

Change: the fields are checked before the first command, by the function that also checks them when the command is applied. A refused heartbeat writes nothing to the log any more.

Test: "an invalid heartbeat removes no endpoint" failed for an id of its own and for the id of the endpoint.

--- a/src/libflamingo/control/applycontext.h
+++ b/src/libflamingo/control/applycontext.h
@@ -48,6 +48,8 @@
 CommandResult applyBody(ApplyContext& context, const SetEvacuation& command);
 
 // Registration and removal of endpoints (applyendpoints.cpp).
+/** Checks the fields of a registration that can be checked without the state. Thread-safe. */
+CommandResult checkEndpoint(const EndpointRecord& endpoint);
 CommandResult applyBody(ApplyContext& context, const RegisterEndpoint& command);
 CommandResult applyBody(ApplyContext& context, const DrainOwnEndpoint& command);
 CommandResult applyBody(ApplyContext& context, const RemoveEndpoints& command);
--- a/src/libflamingo/control/applyendpoints.cpp
+++ b/src/libflamingo/control/applyendpoints.cpp
@@ -23,24 +23,6 @@
     return "layout " + std::to_string(key.m_layout.value()) + " of snapshot " + std::to_string(key.m_version.value());
 }
 
-CommandResult checkEndpoint(const EndpointRecord& endpoint)
-{
-    if (!isValidName(endpoint.m_id.value()))
-        return refusal(ResultCode::InvalidField, "an endpoint id must have 1 to 128 characters");
-    if (endpoint.m_address.empty() || endpoint.m_port == 0)
-        return invalid(endpoint, "an IP address and a port are needed");
-    if (endpoint.m_slots == 0 || endpoint.m_connections == 0)
-        return invalid(endpoint, "slots and connections must be at least 1");
-    if (endpoint.m_holdings.size() > maxHoldings)
-        return invalid(endpoint, "at most " + std::to_string(maxHoldings) + " shards may be held");
-    std::set<std::tuple<SnapshotVersion, LayoutId, ShardIndex>> seen;
-    for (const ShardHolding& holding : endpoint.m_holdings) {
-        if (!seen.emplace(holding.m_version, holding.m_layout, holding.m_shard).second)
-            return invalid(endpoint, "a shard is listed twice in the holdings");
-    }
-    return success();
-}
-
 bool isValidLayout(const SnapshotLayout& layout)
 {
     const auto& weights = layout.m_shardWeights;
@@ -119,6 +101,24 @@
 
 } // namespace
 
+CommandResult checkEndpoint(const EndpointRecord& endpoint)
+{
+    if (!isValidName(endpoint.m_id.value()))
+        return refusal(ResultCode::InvalidField, "an endpoint id must have 1 to 128 characters");
+    if (endpoint.m_address.empty() || endpoint.m_port == 0)
+        return invalid(endpoint, "an IP address and a port are needed");
+    if (endpoint.m_slots == 0 || endpoint.m_connections == 0)
+        return invalid(endpoint, "slots and connections must be at least 1");
+    if (endpoint.m_holdings.size() > maxHoldings)
+        return invalid(endpoint, "at most " + std::to_string(maxHoldings) + " shards may be held");
+    std::set<std::tuple<SnapshotVersion, LayoutId, ShardIndex>> seen;
+    for (const ShardHolding& holding : endpoint.m_holdings) {
+        if (!seen.emplace(holding.m_version, holding.m_layout, holding.m_shard).second)
+            return invalid(endpoint, "a shard is listed twice in the holdings");
+    }
+    return success();
+}
+
 void updateLayoutUse(ControlState& state, const EndpointRecord& endpoint, bool add)
 {
     for (const ShardHolding& holding : endpoint.m_holdings) {
--- a/src/libflamingo/control/endpointmessagehandler.cpp
+++ b/src/libflamingo/control/endpointmessagehandler.cpp
@@ -145,7 +145,7 @@
 // A plain renewal writes no line, because there is one for each endpoint in each heartbeat interval.
 void EndpointMessageHandler::logDecision(const PendingMessage& pending, const HeartbeatDecision& decision) const
 {
-    if (*decision.m_explanation == '\0')
+    if (decision.m_explanation.empty())
         return;
     const ControlState& state = m_service.state();
     const EndpointId& endpoint = endpointOf(pending.m_message);
--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -106,6 +106,13 @@
 {
     HeartbeatDecision decision;
     decision.m_explanation = explanation;
+    // A registration that is refused must not remove others first.
+    const CommandResult check = detail::checkEndpoint(endpoint);
+    if (check.m_code != ResultCode::Ok) {
+        decision.m_refusal = check.m_code;
+        decision.m_explanation = check.m_text;
+        return decision;
+    }
     const EndpointRecord* other = otherAtAddress(state.m_published, endpoint);
     if (const char* refusal = other ? addressRefusal(state, endpoint, *other) : nullptr) {
         decision.m_explanation = refusal;
--- a/src/libflamingo/control/heartbeatdecision.h
+++ b/src/libflamingo/control/heartbeatdecision.h
@@ -6,6 +6,7 @@
 #include "control/controlstate.h"
 
 #include <cstddef>
+#include <string>
 #include <vector>
 
 namespace flamingo {
@@ -24,7 +25,7 @@
     std::vector<CommandBody> m_commands; // commands that are needed, in this order
     ResultCode m_refusal = ResultCode::Ok; // if it is not Ok, the message is refused with this code
     bool m_renews = false; // the heartbeat renews a registered endpoint
-    const char* m_explanation = ""; // reason of the decision, for the log; empty for a plain renewal
+    std::string m_explanation; // reason of the decision, for the log; empty for a plain renewal
 };
 
 /**
--- a/src/libflamingo/control/tests/otherwritertest.cpp
+++ b/src/libflamingo/control/tests/otherwritertest.cpp
@@ -100,3 +100,17 @@
         CHECK(reports.isCalled("n"));
     }
 }
+
+// Guards against a registration that is refused after it has removed the endpoint with its address or its id.
+TEST_CASE("an invalid heartbeat removes no endpoint", "[control]")
+{
+    EndpointReports reports;
+    reports.apply(routes(1, 1));
+    reports.report(readyHeartbeat("a", 5));
+    const std::string id = GENERATE("a", "b");
+    CAPTURE(id);
+    EndpointHeartbeat invalid = readyHeartbeat(id, 9);
+    invalid.m_endpoint.m_slots = 0;
+    CHECK(reports.report(invalid) == Outcome::Refused);
+    CHECK(reports.calledIncarnation("a") == 5);
+}
