Register an endpoint again when the one that took its address has expired

What callers saw: an endpoint whose address another one had claimed stayed out of use for good, although it went on sending heartbeats and the other one had sent none since.

Cause: the endpoint at the address was recorded as having left, like one that has said so.

Change: it is removed as an expired registration is. While the other one is registered, its heartbeats are late as before; afterwards they register it again. One that was draining stays out, and a departure holds in either case.

Test: "an endpoint returns when another one at its address has expired" failed before for the endpoint that did not drain.

--- a/src/libflamingo/control/heartbeatdecision.cpp
+++ b/src/libflamingo/control/heartbeatdecision.cpp
@@ -100,7 +100,8 @@
  * Registers an endpoint in place of any other one with its address.
  *
  * An earlier incarnation of the endpoint is recorded as having left. Otherwise a late heartbeat would register it when
- * the later one has expired, also if it had drained.
+ * the later one has expired, also if it had drained. The other one at the address is removed as if it had expired: if
+ * it still runs and the new one does not, its heartbeats register it again once the new one has expired.
  */
 HeartbeatDecision registerEndpoint(const ControlState& state, const EndpointRecord& endpoint, const char* explanation)
 {
@@ -125,7 +126,7 @@
         decision.m_commands.push_back(RemoveEndpoints { { { endpoint.m_id, registered->m_incarnation, givesWay } } });
     }
     if (other)
-        decision.m_commands.push_back(RemoveEndpoints { { { other->m_id, other->m_incarnation, false } } });
+        decision.m_commands.push_back(RemoveEndpoints { decideExpiry(*other) });
     decision.m_commands.push_back(RegisterEndpoint { endpoint, {} });
     return decision;
 }
--- a/src/libflamingo/control/tests/otherwritertest.cpp
+++ b/src/libflamingo/control/tests/otherwritertest.cpp
@@ -114,3 +114,29 @@
     CHECK(reports.report(invalid) == Outcome::Refused);
     CHECK(reports.calledIncarnation("a") == 5);
 }
+
+// Guards against an endpoint that stays out of use although the one that claimed its address is gone.
+TEST_CASE("an endpoint returns when another one at its address has expired", "[control]")
+{
+    EndpointReports reports;
+    reports.apply(routes(1, 1));
+    reports.report(readyHeartbeat("a", 5));
+    const bool drained = GENERATE(false, true);
+    CAPTURE(drained);
+    if (drained)
+        reports.report(drainingHeartbeat("a", 5));
+    reports.report(readyHeartbeat("b", 9));
+    CHECK(reports.isCalled("b"));
+    reports.report(readyHeartbeat("a", 5));
+    CHECK_FALSE(reports.isCalled("a"));
+    reports.expireAll();
+    reports.report(readyHeartbeat("a", 5));
+    CHECK(reports.isCalled("a") == !drained);
+
+    SECTION("unless it departs")
+    {
+        reports.report(departure("a", 5));
+        reports.report(readyHeartbeat("a", 5));
+        CHECK_FALSE(reports.isCalled("a"));
+    }
+}
