Read an IPv4 address that is mapped to IPv6 as IPv4

What could happen: two endpoints were registered at the same address, one as 10.128.0.9 and one as ::ffff:10.128.0.9, so that neither replaced the other when the address was used again.

Change: parseSocketAddress returns mapped addresses as IPv4.

--- a/src/libflamingo/link/socketaddress.cpp
+++ b/src/libflamingo/link/socketaddress.cpp
@@ -16,9 +16,11 @@
         host = host.substr(1, host.size() - 2);
 
     boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(host, error);
+    auto address = boost::asio::ip::make_address(host, error);
     if (error || address.is_v6() != bracketed)
         return std::nullopt;
+    if (address.is_v6() && address.to_v6().is_v4_mapped())
+        address = boost::asio::ip::make_address_v4(boost::asio::ip::v4_mapped, address.to_v6());
 
     std::uint16_t port = 0;
     const char* const end = text.data() + text.size();
