Accept a fraction as the number of tolerated losses

A platform may give a number with a fraction; a control VM would have ended at each start because of it. Fractions are rounded up.

--- a/src/libflamingo/settings/settingsreader.cpp
+++ b/src/libflamingo/settings/settingsreader.cpp
@@ -5,6 +5,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -18,7 +19,7 @@
 
 constexpr std::uint32_t maxCount = 100000;
 constexpr std::uint32_t maxWeight = 1000;
-constexpr std::uint32_t maxToleratedLosses = 100;
+constexpr double maxToleratedLosses = 1e5;
 constexpr double maxExtraLoadShare = 10.0;
 constexpr double maxExtraLoadCalls = 1e9;
 constexpr double maxQuotaSlack = 1e9;
@@ -134,7 +135,9 @@
     section.flag("bootstrap", control.m_bootstrap);
     section.address("api", control.m_api);
     section.duration("endpoint_heartbeat", minHeartbeatInterval, maxDuration, control.m_endpointHeartbeat);
-    section.number("tolerated_losses", 0U, maxToleratedLosses, control.m_toleratedLosses);
+    double toleratedLosses = control.m_toleratedLosses;
+    section.decimal("tolerated_losses", 0.0, maxToleratedLosses, toleratedLosses);
+    control.m_toleratedLosses = static_cast<std::uint32_t>(std::ceil(toleratedLosses));
     section.checkKeys();
     if (!settings.m_controlRole) {
         if (section.isPresent())
