Count and free the memory of answers that are being received

Cause: the bytes of an answer were counted, but not the buffer that they are read into, up to 64 KiB for each of the 1,600 connections, nor what the body takes beyond its bytes. A call that nobody waits for any more kept its partial answer while the endpoint sent on, until its connection was closed.

Change: a connection counts the buffer and the body as allocated while an answer arrives, reads 16 KiB at a time, and frees both as soon as its call is cancelled. The budget and what happens at its limit are as before.

The new test of the endpoint client also covers the cancelled call.

--- a/src/libflamingo/base/heldbytes.h
+++ b/src/libflamingo/base/heldbytes.h
@@ -36,6 +36,9 @@
 
     void add(std::uint64_t bytes) { set(m_bytes + bytes); }
 
+    /** Precondition: at least this many bytes are counted. */
+    void subtract(std::uint64_t bytes) { set(m_bytes - bytes); }
+
 private:
     ByteBudget* m_budget;
     std::uint64_t m_bytes = 0;
--- a/src/libflamingo/endpoint/httpconnection.cpp
+++ b/src/libflamingo/endpoint/httpconnection.cpp
@@ -25,7 +25,7 @@
 
 constexpr std::uint64_t maxBodyBytes = 4ULL * 1024 * 1024;
 constexpr std::size_t headerReadBytes = 4096;
-constexpr std::size_t bodyReadBytes = 65536;
+constexpr std::size_t bodyReadBytes = 16384;
 constexpr std::size_t maxIdleBufferBytes = 16384;
 // Largest part of an answer that the parser cannot consume yet: a head, or the line before a chunk with its extensions.
 constexpr std::size_t maxUnparsedBytes = 16384;
@@ -87,6 +87,8 @@
     void close(Milliseconds timeout) override
     {
         m_state = State::Closing;
+        // The peer may send on for the whole timeout.
+        dropAnswer();
         error_code error;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
         startTimer(error ? Milliseconds(0) : timeout, "closed");
@@ -133,6 +135,29 @@
             m_owner->connected(*this);
     }
 
+    /** Frees what was received of an answer. */
+    void dropAnswer()
+    {
+        m_parser.reset();
+        if (m_held)
+            m_held->subtract(m_countedBody + m_countedBuffer);
+        m_held.reset();
+        m_countedBody = 0;
+        m_countedBuffer = 0;
+    }
+
+    /** Counts the memory that the answer takes so far, in the buffer and as a body. */
+    void countAnswer()
+    {
+        if (!m_held)
+            return;
+        const std::size_t body = std::max(m_countedBody, m_parser->bodyCapacity());
+        const std::size_t buffer = std::max(m_countedBuffer, m_buffer.capacity());
+        m_held->add((body - m_countedBody) + (buffer - m_countedBuffer));
+        m_countedBody = body;
+        m_countedBuffer = buffer;
+    }
+
     void expectAnswer() { m_parser.emplace(m_protocol, maxBodyBytes); }
 
     /** Returns whether the answer being read exceeds a limit, as that of a peer that sends without end. */
@@ -143,8 +168,11 @@
     void read()
     {
         const bool readingBody = m_state == State::Busy && m_parser && m_parser->is_header_done();
-        m_socket.async_read_some(m_buffer.prepare(readingBody ? bodyReadBytes : headerReadBytes),
-            [self = self()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
+        const auto space = m_buffer.prepare(readingBody ? bodyReadBytes : headerReadBytes);
+        if (readingBody)
+            countAnswer();
+        m_socket.async_read_some(
+            space, [self = self()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
     }
 
     void onRead(error_code error, std::size_t bytes)
@@ -172,8 +200,6 @@
             return;
         }
         m_answerBytes += bytes;
-        if (m_held)
-            m_held->add(bytes);
         parse();
     }
 
@@ -231,11 +257,12 @@
 
     void finish()
     {
+        countAnswer();
+        m_countedBody = 0; // the owner of the reply holds it from now on
         EndpointReply reply = m_parser->takeReply();
         m_namesRequests = !reply.m_request.value().empty();
         const bool reusable = m_inSync && m_parser->keep_alive() && m_writeDone && m_buffer.size() == 0;
-        m_parser.reset();
-        m_held.reset();
+        dropAnswer();
         if (reusable) {
             m_state = State::Idle;
             if (m_buffer.capacity() > maxIdleBufferBytes)
@@ -261,7 +288,7 @@
 
     void release()
     {
-        m_held.reset();
+        dropAnswer();
         error_code ignored;
         m_socket.close(ignored);
         m_timer.cancel();
@@ -285,7 +312,9 @@
     std::optional<ReplyParser> m_parser;
     RequestId m_request; // the request that waits for an answer
     std::uint64_t m_answerBytes = 0; // received since the request was sent
-    std::shared_ptr<HeldBytes> m_held; // counts the bytes of the answer
+    std::shared_ptr<HeldBytes> m_held; // counts the memory of the answer
+    std::size_t m_countedBody = 0; // of the answer being received, in m_held
+    std::size_t m_countedBuffer = 0;
     // Whether the last answer named its request. A late answer that does not is recognized only while it is unread
     // before the next request is sent.
     bool m_namesRequests = false;
--- a/src/libflamingo/endpoint/replyparser.h
+++ b/src/libflamingo/endpoint/replyparser.h
@@ -27,6 +27,9 @@
     /** Returns the request id in the response; empty if there is none. The header must be complete. */
     const RequestId& request() const { return m_reply.m_request; }
 
+    /** Returns the bytes that the body takes, which may be more than have arrived. */
+    std::size_t bodyCapacity() const { return m_reply.m_body.capacity(); }
+
     /** Moves the reply out of the parser, which must not be used afterwards. The response must be complete. */
     EndpointReply takeReply();
 
--- a/src/libflamingo/endpoint/tests/endpointanswers.cpp
+++ b/src/libflamingo/endpoint/tests/endpointanswers.cpp
@@ -272,6 +272,44 @@
     CHECK(sent < (8ULL << 20U) + socketBufferBytes);
 }
 
+// Guards against memory that is not counted while an answer arrives, and against the memory of an answer that nobody
+// waits for any more and that the endpoint goes on sending.
+SCENARIO("the memory of an answer is counted while it arrives")
+{
+    EndpointClientFixture fixture(protocolWithoutLengths());
+    namespace asio = boost::asio;
+    asio::ip::tcp::acceptor acceptor(fixture.m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket peer(fixture.m_context);
+    acceptor.async_accept(peer, [](auto) {});
+    fixture.m_port = acceptor.local_endpoint().port();
+    fixture.setMaxConnections(1);
+    ByteBudget budget(1U << 30U);
+    EndpointCall call = fixture.call();
+    call.m_held = std::make_shared<HeldBytes>(&budget);
+    const CallHandle handle = fixture.start(call);
+    fixture.runUntil([&] { return peer.is_open() && peer.available() > 0; });
+    constexpr std::size_t sentBytes = 100000;
+    asio::write(peer, asio::buffer("HTTP/1.1 200 OK\r\n\r\n" + std::string(sentBytes, 'x')));
+    fixture.runUntil([&] { return budget.held() >= sentBytes; });
+
+    WHEN("the call is cancelled while the endpoint sends on")
+    {
+        fixture.m_client.cancel(handle);
+        THEN("the memory is free at once") { CHECK(budget.held() == 0); }
+    }
+    WHEN("the answer ends")
+    {
+        peer.shutdown(asio::ip::tcp::socket::shutdown_send);
+        fixture.awaitReplies(1);
+        THEN("the body counts for the request, and the buffer does not")
+        {
+            CHECK(fixture.m_replies[0].m_body.size() == sentBytes);
+            CHECK(budget.held() >= sentBytes);
+            CHECK(budget.held() == fixture.m_replies[0].m_body.capacity());
+        }
+    }
+}
+
 // Guards against a caller that gets the answer to somebody else's request.
 SCENARIO("a second copy of an answer arrives late on a kept connection")
 {
