--- a/src/libflamingo/control/heartbeatdecision.h
+++ b/src/libflamingo/control/heartbeatdecision.h
@@ -32,8 +32,9 @@
  * Decides on a heartbeat. Not thread-safe for one state.
  *
  * A heartbeat may come from another writer. One whose service no configuration names does not take the id or the
- * address of an endpoint of a configured service, whatever its incarnation, and gives way to the heartbeats of that one.
- * It is acknowledged without effect, since the configuration that names its service may be on its way.
+ * address of an endpoint of a configured service, whatever its incarnation, and gives way to the heartbeats of that
+ * one. It is acknowledged all the same, since the configuration that names its service may be on its way.
+ *
  * A heartbeat is late if its incarnation was replaced or has left, or if its address belongs to an endpoint with a
  * later incarnation. A late heartbeat is acknowledged and does not register its endpoint. Draining is final for an
  * incarnation, also if it is not registered, so that the order of the messages of one incarnation does not matter.
