--- a/src/libflamingo/consensus/voterresponse.h
+++ b/src/libflamingo/consensus/voterresponse.h
@@ -4,6 +4,7 @@
 #include "consensus/memberrecord.h"
 #include "consensus/raftstate.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace flamingo {
