--- a/src/libflamingo/consensus/voterchange.cpp
+++ b/src/libflamingo/consensus/voterchange.cpp
@@ -99,7 +99,7 @@
     for (const MemberRecord& member : latestConfiguration(state.m_log).m_members) {
         if (member.m_voter || !detail::isCaughtUp(state, member.m_id, now))
             continue;
-        if (const auto change = changeForLearner(state, member, response, now))
+        if (auto change = changeForLearner(state, member, response, now))
             return change;
     }
     return std::nullopt;
