Return free memory to the system after the limit of callers' memory was met

Cause: the buffers of answers are below the size that has a mapping of its own, so that their memory stays in the heap.

Change: once a quarter of the limit or less is held after the limit was exceeded, the loop trims the heap.

--- a/src/libflamingo/daemon/forwardloop.cpp
+++ b/src/libflamingo/daemon/forwardloop.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <future>
 #include <iterator>
+#include <malloc.h>
 #include <random>
 #include <sys/resource.h>
 #include <utility>
@@ -50,6 +51,8 @@
 // Share of the VM's memory that may be held for callers. The rest is for the process itself, for copies that are made
 // when an answer is passed on, and for what the allocator cannot use.
 constexpr double callerMemoryShare = 0.35;
+// The VM is calm again below this part of that memory.
+constexpr std::uint64_t calmMemoryDivisor = 4;
 // Share of the descriptors that connections of callers may use. The others are for endpoints and other VMs.
 constexpr double callerDescriptorShare = 0.5;
 // The load balancer needs one at a time.
@@ -515,6 +518,7 @@
     checkReachability(now);
     m_quotas.tick(now);
     logClosedConnections();
+    trimMemory();
     const bool fresh
         = m_state.m_header.m_version.value() != 0 && now - m_confirmedAt < m_settings.m_routes.m_staleLimit;
     if (fresh == m_stateFresh)
@@ -535,9 +539,18 @@
 void ForwardLoop::reclaimMemory()
 {
     m_reclaimPosted = false;
+    m_trimDue = m_trimDue || m_callerBytes.isExceeded();
     while (m_callerBytes.isExceeded() && (m_callerServer.closeSlowest() || m_mergeServer.closeSlowest())) { }
 }
 
+void ForwardLoop::trimMemory()
+{
+    if (!m_trimDue || m_callerBytes.held() > m_callerBytes.limit() / calmMemoryDivisor)
+        return;
+    m_trimDue = false;
+    malloc_trim(0);
+}
+
 void ForwardLoop::logClosedConnections()
 {
     const HttpServerCounters& now = m_callerServer.counters();
--- a/src/libflamingo/daemon/forwardloop.h
+++ b/src/libflamingo/daemon/forwardloop.h
@@ -82,6 +82,8 @@
     void tick();
     void logLeavingEndpoints();
     void reclaimMemory();
+    /** Returns free memory to the system once little is held again after the limit was exceeded. */
+    void trimMemory();
     void logClosedConnections();
     void observeMetrics(MetricsRegistry& metrics);
 
@@ -89,6 +91,7 @@
     const CallerProtocol& m_protocol;
     ByteBudget m_callerBytes; // held for callers: requests, answers of endpoints, and answers that are not read yet
     bool m_reclaimPosted = false;
+    bool m_trimDue = false; // the limit was exceeded since the last trim
     std::shared_ptr<const LeaseView> m_lease;
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
