--- /dev/null
+++ b/review/standin-3/core.sh
@@ -0,0 +1,193 @@
+# Functions for scripts that start core machines as processes: one process of the role `control` for each machine, each
+# on a loopback address of its own, with settings as the template platform/core.yaml gives them.
+
+repository=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+operator=$repository/target/review-3/operator
+# The first word of the command in deploy/system.toml; the settings file lies in the temporary folder.
+program=$repository/$(sed -n 's/^run = "\([^ ]*\) .*/\1/p' "$repository/deploy/system.toml" | head -n 1)
+work=$(mktemp -d)
+network=127.$((64 + $$ / 250 % 120)).$(($$ % 250))
+case_folder=$(cd "$(dirname "$0")" && pwd)
+record_file=$case_folder/record.txt
+: > "$record_file"
+started_at=$(date +%s%N)
+declare -A pids
+seeds="1 2 3"
+
+# Prints the seconds since the start of the script.
+now() { awk -v from="$started_at" -v to="$(date +%s%N)" 'BEGIN { printf "%.3f", (to - from) / 1e9 }'; }
+
+record() { echo "$(now) $*" >> "$record_file"; }
+
+address() { echo "$network.$1"; }
+
+finish() {
+    for machine in "${!pids[@]}"; do
+        kill -CONT "${pids[$machine]}" 2> /dev/null
+        kill -KILL "${pids[$machine]}" 2> /dev/null
+    done
+    wait 2> /dev/null
+    [ -n "${KEEP:-}" ] || rm -rf "$work"
+}
+trap finish EXIT
+
+fail_to_run() {
+    record "the case could not run: $*"
+    exit 2
+}
+
+[ -x "$program" ] && [ -x "$operator" ] || fail_to_run "a program is missing; run the build and review/build-3.sh"
+
+# start_core MACHINE BOOTSTRAP
+start_core() {
+    local ip list="" seed
+    ip=$(address "$1")
+    for seed in $seeds; do
+        list="$list${list:+, }\"$(address "$seed"):8106\""
+    done
+    mkdir -p "$work/disk$1"
+    cat > "$work/node$1.yaml" << END
+vm:
+  id: "core-$1"
+  data_centre: "zone-a"
+roles: [control]
+control:
+  listen: $ip:7380
+  api: $ip:8106
+  data_folder: "$work/disk$1"
+  bootstrap: $2
+  endpoint_heartbeat: 1200 ms
+  tolerated_losses: 2
+seeds:
+  addresses: [$list]
+  link_port: 7380
+metrics: $ip:7395
+shutdown:
+  grace: 6 s
+END
+    "$program" "--settings=$work/node$1.yaml" >> "$work/log$1.txt" 2>&1 &
+    pids[$1]=$!
+    disown
+    record "machine $1 starts (bootstrap $2)"
+}
+
+freeze() {
+    kill -STOP "${pids[$1]}"
+    record "machine $1 freezes"
+}
+
+thaw() {
+    kill -CONT "${pids[$1]}"
+    record "machine $1 wakes"
+}
+
+# The machine is gone for good.
+remove() {
+    kill -KILL "${pids[$1]}"
+    unset "pids[$1]"
+    record "machine $1 is gone for good"
+}
+
+# The machine loses its disk and is down until it is started again.
+lose_disk() {
+    kill -KILL "${pids[$1]}"
+    rm -rf "$work/disk$1"
+    record "machine $1 is down and loses its disk"
+}
+
+# configuration VERSION: prints one with a single route.
+configuration() {
+    echo "{\"version\":$1,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\",\"pathPrefix\":\"/v$1/\",\"routeType\":\"idempotent\",\"timeoutMs\":1000,\"service\":\"s\",\"maxAttempts\":2}],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":50}]}"
+}
+
+# call MACHINE METHOD PATH [BODY]: sets status, answered_by and body.
+call() {
+    local answer
+    answer=$("$operator" "$(address "$1"):8106" "$2" "$3" "${4:-}")
+    read -r status answered_by body <<< "$answer"
+    answered_by=${answered_by%:*}
+    answered_by=${answered_by##*.}
+}
+
+# replace VERSION MACHINE...: sends the configuration to the machines in turn until one acknowledges it.
+# Fails if none does within replace_seconds.
+replace_seconds=${replace_seconds:-20}
+replace() {
+    local version=$1 until=$((SECONDS + replace_seconds)) machine
+    shift
+    while [ $SECONDS -lt $until ]; do
+        for machine in "$@"; do
+            call "$machine" POST /api/Config.Replace "$(configuration "$version")"
+            record "configuration $version sent to machine $machine: $status from machine $answered_by"
+            [ "$status" = 200 ] && return 0
+        done
+        sleep 0.2
+    done
+    return 1
+}
+
+# read_version MACHINE: reads the configuration and sets version; it is empty without an answer of status 200.
+read_version() {
+    call "$1" GET /api/Config.Read
+    version=""
+    [ "$status" = 200 ] && version=$(sed -n 's/.*"version":\([0-9]*\).*/\1/p' <<< "$body")
+    record "configuration read at machine $1: $status from machine $answered_by, version ${version:-none}"
+}
+
+# Sets leader to the machine that the others name, or fails after 10 s.
+find_leader() {
+    local until=$((SECONDS + 10))
+    while [ $SECONDS -lt $until ]; do
+        read_version "$1"
+        leader=$answered_by
+        [ "$status" = 200 ] && return 0
+        sleep 0.2
+    done
+    return 1
+}
+
+# Starts machines 1 to 5 with empty disks, has configuration 20 acknowledged once the first start lies further back
+# than catchUpS, and sets leader.
+start_five_and_find_leader() {
+    local machine
+    for machine in 1 2 3 4 5; do
+        start_core $machine true
+    done
+    replace 10 1 2 3 4 5 || fail_to_run "the first configuration was not acknowledged"
+    sleep 6
+    replace 20 1 2 3 4 5 || fail_to_run "the second configuration was not acknowledged"
+    find_leader 1 || fail_to_run "no machine answers a read"
+    record "machine $leader leads"
+}
+
+# Prints the last of the seeds that is not the leader.
+seed_that_does_not_lead() { echo "$seeds" | tr ' ' '\n' | grep -v "^$leader\$" | tail -n 1; }
+
+# other_seeds MACHINE
+other_seeds() { echo "$seeds" | tr ' ' '\n' | grep -v "^$1\$"; }
+
+# Prints the machines that were started and not removed.
+running() { echo "${!pids[@]}" | tr ' ' '\n' | sort; }
+
+# Sends one version after the other, each to another machine, and sets acknowledged to the last that was acknowledged.
+send_versions_to_all() {
+    local machine sent=$acknowledged
+    replace_seconds=8
+    for machine in $(running); do
+        sent=$((sent + 1))
+        replace $sent "$machine" && acknowledged=$sent
+    done
+}
+
+# check_reads VERSION: reads the configuration at each machine; sets broken to 1 if one answers with an older version.
+check_reads() {
+    local machine
+    broken=0
+    for machine in $(running); do
+        read_version "$machine"
+        if [ -n "$version" ] && [ "$version" -lt "$1" ]; then
+            record "BROKEN: machine $machine answers a read with version $version; $1 was acknowledged before"
+            broken=1
+        fi
+    done
+}
