--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -35,20 +35,6 @@
 fi
 sleep 13 # more than recoveryS after all are back
 
-# The operator reads back what was acknowledged, at every machine, until one has it.
-newest=0
-until=$((SECONDS + 20))
-while [ "$newest" -lt 30 ] && [ $SECONDS -lt $until ]; do
-    for machine in $(running); do
-        read_version "$machine"
-        [ -n "$version" ] && [ "$version" -gt "$newest" ] && newest=$version
-    done
-    sleep 1
-done
-broken=0
-if [ "$newest" -lt 30 ]; then
-    record "BROKEN: no machine has configuration 30, which was acknowledged"
-    broken=1
-fi
+read_back 30
 record "result $broken"
 exit "$broken"
--- a/review/standin-3/core.sh
+++ b/review/standin-3/core.sh
@@ -81,11 +81,14 @@
     record "machine $1 wakes"
 }
 
-# The machine is gone for good.
+# remove MACHINE [SIGNAL]: the machine is gone for good.
 remove() {
-    kill -KILL "${pids[$1]}"
+    kill "-${2:-KILL}" "${pids[$1]}"
+    while kill -0 "${pids[$1]}" 2> /dev/null; do
+        sleep 0.05
+    done
     unset "pids[$1]"
-    record "machine $1 is gone for good"
+    record "machine $1 is gone for good (${2:-KILL})"
 }
 
 # The machine loses its disk and is down until it is started again.
@@ -191,3 +194,21 @@
         fi
     done
 }
+
+# read_back VERSION: the operator reads the configuration back at every machine for 20 s, until one has the version.
+# Sets broken to 1 if none has it.
+read_back() {
+    local machine newest=0 until=$((SECONDS + 20))
+    while [ "$newest" -lt "$1" ] && [ $SECONDS -lt $until ]; do
+        for machine in $(running); do
+            read_version "$machine"
+            [ -n "$version" ] && [ "$version" -gt "$newest" ] && newest=$version
+        done
+        sleep 1
+    done
+    broken=0
+    if [ "$newest" -lt "$1" ]; then
+        record "BROKEN: no machine has configuration $1, which was acknowledged"
+        broken=1
+    fi
+}
