--- a/review/standin-3/core.sh
+++ b/review/standin-3/core.sh
@@ -26,7 +26,7 @@
         kill -CONT "${pids[$machine]}" 2> /dev/null
         kill -KILL "${pids[$machine]}" 2> /dev/null
     done
-    wait 2> /dev/null
+    [ -z "$(compgen -A variable reports_started)" ] || sleep 1.3 # the last pause between two reports of a server
     [ -n "${KEEP:-}" ] || rm -rf "$work"
 }
 trap finish EXIT
@@ -212,3 +212,94 @@
         broken=1
     fi
 }
+
+# start_front NAME: starts an entry machine with settings as the template platform/front.yaml gives them.
+start_front() {
+    local ip list="" seed
+    ip=$(address "$1")
+    for seed in $seeds; do
+        list="$list${list:+, }\"$(address "$seed"):8106\""
+    done
+    cat > "$work/node$1.yaml" << END
+vm:
+  id: "front-$1"
+  data_centre: "zone-a"
+roles: [routes]
+routes:
+  listen: $ip:8104
+  health: $ip:8108
+  merge_port: 7380
+  extra_load_share: 0.2
+  extra_load_calls: 116
+  quota_slack:
+seeds:
+  addresses: [$list]
+  link_port: 7380
+metrics: $ip:7395
+limits:
+  memory_mb: 182
+  descriptors: 2870
+shutdown:
+  grace: 6 s
+END
+    "$program" "--settings=$work/node$1.yaml" >> "$work/log$1.txt" 2>&1 &
+    pids[$1]=$!
+    disown
+    record "front machine $1 starts"
+}
+
+# exchange_seeds SEED...: the settings of all machines name these seeds; each machine gets SIGHUP.
+exchange_seeds() {
+    local machine seed list=""
+    seeds="$*"
+    for seed in $seeds; do
+        list="$list${list:+, }\"$(address "$seed"):8106\""
+    done
+    for machine in $(running); do
+        [ -e "$work/node$machine.yaml" ] || continue
+        sed "s|^  addresses: .*|  addresses: [$list]|" "$work/node$machine.yaml" > "$work/settings"
+        mv "$work/settings" "$work/node$machine.yaml"
+        kill -HUP "${pids[$machine]}"
+    done
+    record "the settings name the seeds $seeds"
+}
+
+# start_server MACHINE SERVICE: a server that reports to the control machines every 1.2 s until the script ends.
+start_server() {
+    local instance=i-$1 born machine
+    born=$(date +%s%3N)
+    "$repository/target/review-3/server" "$(address "$1"):9000" "$instance" &
+    pids[$1]=$!
+    disown
+    record "server $1 of service $2 starts"
+    (
+        sequence=0
+        while true; do
+            for machine in 1 2 4 5; do
+                sequence=$((sequence + 1))
+                [ "$("$operator" "$(address $machine):8106" POST "/api/Instances.Heartbeat/$instance" \
+                    "{\"service\":\"$2\",\"address\":\"$(address "$1"):9000\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":$sequence,\"born\":$born}" \
+                    | cut -c1-3)" = 200 ] && break
+            done
+            sleep 1.2
+        done
+    ) &
+    pids[reports$1]=$!
+    disown
+    reports_started=yes
+}
+
+# request FRONT PATH: sends one request of a consumer and sets status; 000 without an answer within 2 s.
+request() {
+    local line=""
+    requests=$((${requests:-0} + 1))
+    if { exec 9<> "/dev/tcp/$(address "$1")/8104"; } 2> /dev/null; then
+        printf 'GET %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: request-%s\r\nRequest-Deadline: 1000\r\nConnection: close\r\n\r\n' \
+            "$2" "$requests" >&9
+        read -r -t 2 -u 9 line
+        exec 9>&-
+    fi
+    status=$(cut -d ' ' -f 2 <<< "$line")
+    status=${status:-000}
+    record "request $requests for $2 at front machine $1: $status"
+}
