--- a/review/standin-3/core.sh
+++ b/review/standin-3/core.sh
@@ -264,11 +264,11 @@
     record "the settings name the seeds $seeds"
 }
 
-# start_server MACHINE SERVICE: a server that reports to the control machines every 1.2 s until the script ends.
+# start_server MACHINE SERVICE [BYTES [RUNS]]: a server that reports to the control machines every 1.2 s until the script ends.
 start_server() {
     local instance=i-$1 born machine
     born=$(date +%s%3N)
-    "$repository/target/review-3/server" "$(address "$1"):9000" "$instance" &
+    "$repository/target/review-3/server" "$(address "$1"):9000" "$instance" "${@:3}" &
     pids[$1]=$!
     disown
     record "server $1 of service $2 starts"
