--- a/review/standin-3/server.cpp
+++ b/review/standin-3/server.cpp
@@ -1,7 +1,7 @@
 // Stand-in for a server. Usage: server ADDRESS INSTANCE [BYTES [RUNS]]
 // A sound one answers each request with status 200, its receipt, the request's id and a body of so many bytes, and a
-// request that is meant for another instance with 421. It appends the ids of the requests that it runs to the file RUNS.
-// With BYTES = endless its answers are chunked and go on until the caller closes, at 2 MB a second each.
+// request that is meant for another instance with 421. It appends the ids of the requests that it runs to the file
+// RUNS. With BYTES = endless its answers are chunked and go on until the caller closes, at 2 MB a second each.
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
