--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,3 +7,4 @@
 g++ -std=c++17 -O1 -Wall -Wextra -o target/review-3/operator review/standin-3/operator.cpp
 g++ -std=c++17 -O1 -Wall -Wextra -pthread -o target/review-3/server review/standin-3/server.cpp
 g++ -std=c++17 -O1 -Wall -Wextra -pthread -o target/review-3/callers review/standin-3/callers.cpp
+g++ -std=c++17 -O1 -Wall -Wextra -o target/review-3/launch review/standin-3/launch.cpp
--- a/review/standin-3/core.sh
+++ b/review/standin-3/core.sh
@@ -3,6 +3,7 @@
 
 repository=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 operator=$repository/target/review-3/operator
+launch=$repository/target/review-3/launch
 # The first word of the command in deploy/system.toml; the settings file lies in the temporary folder.
 program=$repository/$(sed -n 's/^run = "\([^ ]*\) .*/\1/p' "$repository/deploy/system.toml" | head -n 1)
 work=$(mktemp -d)
@@ -30,13 +31,25 @@
     [ -n "${KEEP:-}" ] || rm -rf "$work"
 }
 trap finish EXIT
+# A script that takes too long ends as one that could not run. Every foreground command takes less than 15 s.
+time_limit_s=100
+trap 'fail_to_run "it took longer than $time_limit_s s"' USR1
+(
+    while [ $SECONDS -lt $time_limit_s ]; do
+        sleep 1
+        kill -0 $$ 2> /dev/null || exit
+    done
+    kill -USR1 $$
+) &
+pids[limit]=$!
+disown
 
 fail_to_run() {
     record "the case could not run: $*"
     exit 2
 }
 
-[ -x "$program" ] && [ -x "$operator" ] || fail_to_run "a program is missing; run the build and review/build-3.sh"
+[ -x "$program" ] && [ -x "$operator" ] && [ -x "$launch" ] || fail_to_run "a program is missing; run the build and review/build-3.sh"
 
 # start_core MACHINE BOOTSTRAP
 start_core() {
@@ -65,7 +78,7 @@
 shutdown:
   grace: 6 s
 END
-    "$program" "--settings=$work/node$1.yaml" >> "$work/log$1.txt" 2>&1 &
+    "$launch" "$program" "--settings=$work/node$1.yaml" >> "$work/log$1.txt" 2>&1 &
     pids[$1]=$!
     disown
     record "machine $1 starts (bootstrap $2)"
@@ -170,7 +183,7 @@
 other_seeds() { echo "$seeds" | tr ' ' '\n' | grep -v "^$1\$"; }
 
 # Prints the machines that were started and not removed.
-running() { echo "${!pids[@]}" | tr ' ' '\n' | sort; }
+running() { echo "${!pids[@]}" | tr ' ' '\n' | grep '^[0-9]*$' | sort; }
 
 # Sends one version after the other, each to another machine, and sets acknowledged to the last that was acknowledged.
 send_versions_to_all() {
@@ -242,7 +255,7 @@
 shutdown:
   grace: 6 s
 END
-    "$program" "--settings=$work/node$1.yaml" >> "$work/log$1.txt" 2>&1 &
+    "$launch" "$program" "--settings=$work/node$1.yaml" >> "$work/log$1.txt" 2>&1 &
     pids[$1]=$!
     disown
     record "front machine $1 starts"
@@ -268,13 +281,13 @@
 start_server() {
     local instance=i-$1 born machine
     born=$(date +%s%3N)
-    "$repository/target/review-3/server" "$(address "$1"):9000" "$instance" "${@:3}" &
+    "$launch" "$repository/target/review-3/server" "$(address "$1"):9000" "$instance" "${@:3}" &
     pids[$1]=$!
     disown
     record "server $1 of service $2 starts"
     (
         sequence=0
-        while true; do
+        while kill -0 $$ 2> /dev/null; do
             for machine in 1 2 4 5; do
                 sequence=$((sequence + 1))
                 [ "$("$operator" "$(address $machine):8106" POST "/api/Instances.Heartbeat/$instance" \
